--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -31,6 +31,7 @@
 const usage = `Usage: oleanderpick COMMAND [-h]
 
   serve         run one entry instance
+  relay         run one instance that relays requests on the users' platform
   check FILE…   validate resource manifests without a platform
   version       print the version
 `
@@ -57,6 +58,8 @@
 	switch arguments[0] {
 	case "serve":
 		return c.serve(arguments[1:])
+	case "relay":
+		return c.relay(arguments[1:])
 	case "check":
 		return c.check(arguments[1:])
 	case "version":
@@ -68,7 +71,7 @@
 
 		return exitOK
 	default:
-		fmt.Fprintf(c.errors, "command %q: allowed: serve, check, version\n", arguments[0])
+		fmt.Fprintf(c.errors, "command %q: allowed: serve, relay, check, version\n", arguments[0])
 
 		return exitInvalid
 	}
--- /dev/null
+++ b/internal/commands/relay.go
@@ -0,0 +1,61 @@
+package commands
+
+import (
+	"flag"
+	"fmt"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/oleanderpick/oleanderpick/internal/common/flagger"
+	"github.com/oleanderpick/oleanderpick/internal/configurer"
+	"github.com/oleanderpick/oleanderpick/internal/relayrunner"
+	"github.com/oleanderpick/oleanderpick/platform"
+)
+
+// relay runs an instance that relays opaque requests on the users' platform.
+func (c *Commands) relay(arguments []string) int {
+	settings, err := c.relaySettings(arguments)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(c.errors, err)
+
+		return exitInvalid
+	}
+	logger := hclog.New(&hclog.LoggerOptions{
+		Name:       "oleanderpick",
+		Level:      hclog.LevelFromString(settings.LogLevel),
+		JSONFormat: true,
+		Output:     c.output,
+	})
+	stop, _ := signals()
+	runner := relayrunner.New(settings, relayrunner.Platform{
+		Dialect:   platform.Objects{},
+		Reader:    platform.Declared{},
+		Codec:     platform.Headers{},
+		ReadyPath: platform.ReadyPath,
+	}, logger)
+	if err := runner.Run(stop); err != nil {
+		logger.Error("Instance failed.", "error", err)
+
+		return exitFailed
+	}
+
+	return exitOK
+}
+
+// relaySettings reads the settings from the arguments, the platform's settings
+// file and the environment, in this order of precedence.
+func (c *Commands) relaySettings(arguments []string) (configurer.Relay, error) {
+	getenv := c.getenv
+	if path := c.getenv(platform.SettingsVariable); path != "" {
+		var err error
+		if getenv, err = flagger.File(path, c.getenv); err != nil {
+			return configurer.Relay{}, err
+		}
+	}
+
+	return configurer.ParseRelay(arguments, getenv, c.output)
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,145 @@
+// Package dispatcher owns the control state of a relay: one goroutine feeds the
+// decisions of pkg/, and the traffic goroutines ask it.
+package dispatcher
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/oleanderpick/oleanderpick/pkg/freshener"
+	"github.com/oleanderpick/oleanderpick/pkg/matcher"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/registrar"
+	"github.com/oleanderpick/oleanderpick/pkg/retrier"
+)
+
+// Settings are a dispatcher's limits.
+type Settings struct {
+	// DataCentre is this instance's.
+	DataCentre string
+	// KeyLease is how long a confirmed configuration lets keys pass.
+	KeyLease time.Duration
+	// Return is how long lapsed endpoints may take to register again after
+	// an outage of the platform.
+	Return time.Duration
+	// Retries is the bound on repeats.
+	Retries retrier.WindowSettings
+}
+
+const (
+	// tick is how often the control goroutine looks for what time has ended.
+	tick = 100 * time.Millisecond
+	// outage is the silence of the platform after which registrations may
+	// have lapsed: endpoints renew them every second or so, thrice in vain.
+	outage = 1500 * time.Millisecond
+	// backlog is the questions that wait for the control goroutine.
+	backlog = 256
+)
+
+// Clock tells the time. Boot goes on while the machine is suspended.
+type Clock struct {
+	Now  func() time.Time
+	Boot func() time.Duration
+}
+
+// Dispatcher owns the control state.
+type Dispatcher struct {
+	clock  Clock
+	logger hclog.Logger
+	events chan func()
+	done   chan struct{}
+
+	current    atomic.Pointer[matcher.Matcher]
+	freshUntil atomic.Int64 // boot time
+
+	// The rest belongs to the control goroutine.
+	lease     *freshener.Freshener
+	lifetime  time.Duration
+	registry  *registrar.Registrar
+	placer    *placer.Placer
+	retries   *retrier.Window
+	next      uint64
+	instances int
+}
+
+// New returns a dispatcher that knows nothing yet. Serve runs it.
+func New(settings Settings, clock Clock, logger hclog.Logger) *Dispatcher {
+	return &Dispatcher{
+		clock:    clock,
+		logger:   logger,
+		events:   make(chan func(), backlog),
+		done:     make(chan struct{}),
+		lease:    freshener.New(settings.KeyLease),
+		lifetime: settings.KeyLease,
+		registry: registrar.New(registrar.Settings{Return: settings.Return, Outage: outage}),
+		placer:   placer.New(placer.Settings{DataCentre: settings.DataCentre}),
+		retries:  retrier.NewWindow(settings.Retries),
+	}
+}
+
+// String returns the name that the supervisor logs.
+func (d *Dispatcher) String() string {
+	return "dispatcher"
+}
+
+// Done is closed when the control goroutine has ended.
+func (d *Dispatcher) Done() <-chan struct{} {
+	return d.done
+}
+
+// Serve runs the control goroutine until ctx ends.
+func (d *Dispatcher) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	defer close(d.done)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case event := <-d.events:
+			event()
+		case <-ticker.C:
+			if d.registry.Tick(d.clock.Now()) {
+				d.place()
+			}
+		}
+	}
+}
+
+// do runs an event on the control goroutine and waits for it. It reports false
+// when that has ended.
+func (d *Dispatcher) do(event func()) bool {
+	ran := make(chan struct{})
+	select {
+	case d.events <- func() { event(); close(ran) }:
+	case <-d.done:
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-d.done:
+		return false
+	}
+}
+
+// Matcher returns the configuration in force; nil: none yet.
+func (d *Dispatcher) Matcher() *matcher.Matcher {
+	return d.current.Load()
+}
+
+// Fresh reports whether keys may pass.
+func (d *Dispatcher) Fresh() bool {
+	return int64(d.clock.Boot()) < d.freshUntil.Load()
+}
+
+// Ready reports whether the instance can serve.
+func (d *Dispatcher) Ready() bool {
+	listed := false
+	d.do(func() { listed = d.registry.Listed() })
+
+	return listed && d.Matcher() != nil && d.Fresh()
+}
--- /dev/null
+++ b/internal/dispatcher/request.go
@@ -0,0 +1,72 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/retrier"
+)
+
+// Placement is an endpoint that a request was given.
+type Placement struct {
+	placer.Choice
+
+	id uint64
+}
+
+// Place chooses an endpoint for a request and counts it there; false: there is
+// none.
+func (d *Dispatcher) Place(ask placer.Ask, first bool) (placement Placement, ok bool) {
+	d.do(func() {
+		now := d.clock.Now()
+		if first {
+			d.retries.First(now, ask.Service)
+		}
+		placement.Choice, ok = d.placer.Pick(now, ask)
+		if !ok {
+			return
+		}
+		d.next++
+		placement.id = d.next
+		d.placer.Start(now, placement.id, placement.Choice, ask)
+	})
+
+	return placement, ok
+}
+
+// First records the first event of a placed request.
+func (d *Dispatcher) First(placement Placement) {
+	d.do(func() { d.placer.First(d.clock.Now(), placement.id) })
+}
+
+// Alive records that events come.
+func (d *Dispatcher) Alive(placement Placement) {
+	d.do(func() { d.placer.Alive(d.clock.Now(), placement.id) })
+}
+
+// Silence returns how long nothing has come from the placement's endpoint.
+func (d *Dispatcher) Silence(placement Placement) (silence time.Duration) {
+	d.do(func() { silence = d.clock.Now().Sub(d.placer.LastAlive(placement.ID)) })
+
+	return silence
+}
+
+// End records how the try ended.
+func (d *Dispatcher) End(placement Placement, result placer.Result) {
+	d.do(func() { d.placer.End(d.clock.Now(), placement.id, result) })
+}
+
+// Repeat decides whether an attempt may be repeated; a reason: it may not.
+func (d *Dispatcher) Repeat(service string, attempt retrier.Attempt) string {
+	reason := attempt.Allowed()
+	if reason != retrier.ReasonNone {
+		return reason
+	}
+	d.do(func() {
+		if !d.retries.Repeat(d.clock.Now(), service) {
+			reason = retrier.ReasonClassBudget
+		}
+	})
+
+	return reason
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -54,6 +54,11 @@
 	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
 }
 
+// Took counts a duration in the histogram of that name.
+func (m *Meter) Took(name string, took time.Duration) {
+	m.histogram(name + "-ms").Update(took.Milliseconds())
+}
+
 // Count returns the counter's value; 0 when there is none of that name.
 func (m *Meter) Count(name string) int64 {
 	counter, ok := m.registry.Get(name).(metrics.Counter)
--- /dev/null
+++ b/internal/relayer/attempt.go
@@ -0,0 +1,236 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/oleanderpick/oleanderpick/internal/connector"
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/pkg/answerer"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/retrier"
+)
+
+// trial is one try at one endpoint.
+type trial struct {
+	placement dispatcher.Placement
+	conn      *connector.Connection
+	response  *http.Response
+	// done says that the caller has the final answer.
+	done bool
+	// ran says that the endpoint may have run the request.
+	ran    bool
+	result placer.Result
+	// cause is why there is no answer to pass on; nil: there is one.
+	cause error
+}
+
+// failure is an endpoint's own failure, which is passed on if no other try
+// ends better.
+type failure struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// errStale is a send that was stopped since keys may have been taken away.
+var errStale = errors.New("configuration not confirmed")
+
+// run tries endpoints until the request has its final answer.
+func (j *job) run(ctx context.Context) {
+	for first := true; ; first = false {
+		placement, ok := j.relayer.control.Place(j.ask, first)
+		if !ok {
+			j.relayer.logger.Info("No endpoint may take the request.", "request", j.envelope.ID, "service", j.ask.Service)
+			j.finish(ctx, answerer.KindNoEndpoint)
+
+			return
+		}
+		t := &trial{placement: placement}
+		j.try(ctx, t)
+		j.relayer.control.End(placement, t.result)
+		if t.done {
+			return
+		}
+		if !j.again(ctx, t) {
+			return
+		}
+	}
+}
+
+// again records how a try failed and decides whether there is another one. If
+// not, the caller gets the final answer.
+func (j *job) again(ctx context.Context, t *trial) bool {
+	if t.ran {
+		j.runs++
+		j.ran = true
+	} else {
+		j.refusals++
+	}
+	j.ask.Avoid = append(j.ask.Avoid, t.placement.ID)
+	attempt := retrier.Attempt{
+		Ran:        j.ran,
+		Repeatable: j.route.Repeatable(),
+		Begun:      j.begun,
+		Runs:       j.runs,
+		MostRuns:   j.route.Tries,
+		Refusals:   j.refusals,
+		Remaining:  time.Until(j.deadline),
+	}
+	reason := retrier.ReasonDeadline
+	switch {
+	case errors.Is(t.cause, errStale) && !j.ran:
+		reason = retrier.ReasonFinal
+	case ctx.Err() == nil:
+		reason = j.relayer.control.Repeat(j.ask.Service, attempt)
+	}
+	j.relayer.logger.Info("A try failed.", "request", j.envelope.ID, "route", j.route.Name, "endpoint", t.placement.ID,
+		"result", t.result.String(), "may have run", t.ran, "begun", j.begun, "runs", j.runs, "refusals", j.refusals,
+		"cause", causeText(t.cause), "stops by", reason)
+	if reason == retrier.ReasonNone {
+		j.relayer.meter.Retried(retrier.ReasonRetry)
+
+		return true
+	}
+	j.relayer.meter.Retried(reason)
+	j.finish(ctx, j.kind(t))
+
+	return false
+}
+
+func causeText(err error) string {
+	if err == nil {
+		return "answer"
+	}
+
+	return err.Error()
+}
+
+// kind returns what the caller is told when nothing may be tried any more.
+func (j *job) kind(t *trial) answerer.Kind {
+	late := !time.Now().Before(j.deadline)
+	switch {
+	case errors.Is(t.cause, errStale) && !j.ran:
+		return answerer.KindStoreDown
+	case j.ran && late:
+		return answerer.KindTimeout
+	case j.ran:
+		return answerer.KindUncertain
+	case late:
+		return answerer.KindExpired
+	default:
+		return answerer.KindRefusedByEndpoint
+	}
+}
+
+// try sends the request to the placed endpoint and passes its answer on.
+func (j *job) try(ctx context.Context, t *trial) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := j.relayer.endpoints.Open(ctx, t.placement.Address)
+	if err != nil {
+		j.broken(ctx, t, err)
+
+		return
+	}
+	t.conn = conn
+	request := j.request(ctx, t.placement.ID)
+	t.response, err = conn.Send(request, j.mayLeave)
+	if err != nil {
+		t.ran = !errors.Is(err, connector.ErrNotSent)
+		j.broken(ctx, t, err)
+
+		return
+	}
+	j.receive(ctx, t)
+}
+
+// mayLeave is asked right before the first byte of a request leaves.
+func (j *job) mayLeave() error {
+	if j.keyed && !j.relayer.control.Fresh() {
+		return errStale
+	}
+
+	return nil
+}
+
+// broken records a try that got no answer.
+func (j *job) broken(ctx context.Context, t *trial, cause error) {
+	t.cause = cause
+	t.result = placer.Failed
+	if ctx.Err() != nil || errors.Is(cause, errStale) {
+		t.result = placer.Canceled
+	}
+	if t.conn != nil {
+		t.conn.Close()
+	}
+}
+
+// request makes the request to an endpoint.
+func (j *job) request(ctx context.Context, endpoint string) *http.Request {
+	order := j.order
+	order.Endpoint = endpoint
+	order.Remaining = time.Until(j.deadline)
+	if j.after > 0 {
+		order.After = eventID(j.after)
+	}
+	request := &http.Request{
+		Method: j.incoming.Method,
+		URL:    &url.URL{Scheme: "http", Host: j.incoming.Host, Opaque: j.incoming.RequestURI},
+		Host:   j.incoming.Host,
+		Header: j.relayer.codec.Outgoing(j.incoming.Header, order),
+		Body:   http.NoBody,
+	}
+	if len(j.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(j.body))
+		request.ContentLength = int64(len(j.body))
+	}
+
+	return request.WithContext(ctx)
+}
+
+// receive takes in the answer's head.
+func (j *job) receive(ctx context.Context, t *trial) {
+	said := j.relayer.codec.Statement(t.response.StatusCode, t.response.Header)
+	switch {
+	case said.Misdirected:
+		t.result, t.cause = placer.Misdirected, errors.New("another endpoint has the address")
+		j.discard(t)
+	case said.ID != j.envelope.ID:
+		t.ran = !said.NotRun
+		j.broken(ctx, t, errors.Errorf("answer to request %q", said.ID))
+	case t.response.Header.Get("Content-Encoding") != "":
+		t.ran = true
+		j.broken(ctx, t, errors.New("answer with a content encoding"))
+	case said.NotRun && t.response.StatusCode != http.StatusBadRequest:
+		t.result, t.cause = placer.Refused, errors.Errorf("refused with status %d", t.response.StatusCode)
+		j.discard(t)
+	case t.response.StatusCode == http.StatusOK && eventStream(t.response.Header):
+		t.ran = true
+		j.stream(ctx, t)
+	default:
+		t.ran = true
+		j.whole(ctx, t)
+	}
+}
+
+// mostDiscarded is the bytes of a refusal that are read so that the connection
+// can be used again.
+const mostDiscarded = 16 << 10
+
+// discard reads the rest of an answer that is not passed on.
+func (j *job) discard(t *trial) {
+	n, err := io.Copy(io.Discard, io.LimitReader(t.response.Body, mostDiscarded))
+	if err != nil || n == mostDiscarded {
+		t.conn.Close()
+
+		return
+	}
+	j.relayer.endpoints.Release(t.conn, t.response)
+}
--- /dev/null
+++ b/internal/relayer/relayer.go
@@ -0,0 +1,220 @@
+// Package relayer is the callers' side of an instance that relays opaque
+// requests: method, path, body and unknown headers pass unchanged.
+//
+// A request gets exactly one final answer: the whole answer of an endpoint, an
+// endpoint's own failure, a refusal that promises that the request has not run,
+// or an answer that promises nothing. An answer that breaks off after its
+// beginning was passed on ends with a broken connection.
+package relayer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/oleanderpick/oleanderpick/internal/connector"
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/internal/meter"
+	"github.com/oleanderpick/oleanderpick/pkg/answerer"
+	"github.com/oleanderpick/oleanderpick/pkg/matcher"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
+)
+
+const (
+	// defaultPatience bounds requests that nothing else bounds.
+	defaultPatience = 60 * time.Second
+	// defaultBody is the largest body, in bytes, where the configuration
+	// states none.
+	defaultBody = 4 << 20
+)
+
+// Relayer serves callers.
+type Relayer struct {
+	codec     Codec
+	control   *dispatcher.Dispatcher
+	endpoints *connector.Connector
+	meter     *meter.Meter
+	logger    hclog.Logger
+	random    func() uint64
+	leaving   atomic.Bool
+	inFlight  atomic.Int64
+}
+
+// New returns a handler for callers.
+func New(codec Codec, control *dispatcher.Dispatcher, endpoints *connector.Connector, counters *meter.Meter, logger hclog.Logger, random func() uint64) *Relayer {
+	return &Relayer{codec: codec, control: control, endpoints: endpoints, meter: counters, logger: logger, random: random}
+}
+
+// Leave makes answers ask callers to connect elsewhere.
+func (r *Relayer) Leave() {
+	r.leaving.Store(true)
+}
+
+// InFlight returns the number of requests without a final answer.
+func (r *Relayer) InFlight() int64 {
+	return r.inFlight.Load()
+}
+
+// job is one request under way.
+type job struct {
+	relayer  *Relayer
+	w        http.ResponseWriter
+	incoming *http.Request
+	envelope Envelope
+	route    matcher.Route
+	service  matcher.Service
+	matcher  *matcher.Matcher
+	order    Order
+	keyed    bool
+	body     []byte
+	received time.Time
+	deadline time.Time
+
+	ask      placer.Ask
+	begun    bool // a part of the answer has left for the caller
+	after    int64
+	runs     int
+	refusals int
+	ran      bool
+	failure  *failure
+}
+
+// ServeHTTP relays one request.
+func (r *Relayer) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	j := &job{
+		relayer:  r,
+		w:        w,
+		incoming: incoming,
+		envelope: r.codec.Envelope(incoming.Header),
+		matcher:  r.control.Matcher(),
+		received: time.Now(),
+	}
+	if r.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := j.admit(); err != nil {
+		j.refuse(err)
+
+		return
+	}
+	ctx, cancel := context.WithDeadline(incoming.Context(), j.deadline)
+	defer cancel()
+	j.run(ctx)
+}
+
+// admit finds what the request may do, and reads its body.
+func (j *job) admit() *answerer.Error {
+	if j.matcher == nil {
+		return answerer.New(answerer.KindNoConfiguration, "No configuration is known yet.").WithRetryAfter(startWait)
+	}
+	path, _, _ := strings.Cut(j.incoming.RequestURI, "?")
+	route, ok := j.matcher.Route(j.incoming.Host, path)
+	if !ok {
+		return j.unlessStale(answerer.New(answerer.KindNotFound, "No route matches."))
+	}
+	j.route = route
+	if err := j.identify(); err != nil {
+		return err
+	}
+	if err := j.read(); err != nil {
+		return err
+	}
+	j.limit()
+	j.aim()
+
+	return nil
+}
+
+// unlessStale refuses for good only when the configuration is known to be the
+// newest: a newer one may allow what this one does not.
+func (j *job) unlessStale(err *answerer.Error) *answerer.Error {
+	if j.relayer.control.Fresh() {
+		return err
+	}
+
+	return j.stale()
+}
+
+// stale sends the caller to another instance.
+func (j *job) stale() *answerer.Error {
+	j.w.Header().Set("Connection", "close")
+
+	return answerer.New(answerer.KindStoreDown, "The configuration cannot be confirmed.").WithRetryAfter(staleWait)
+}
+
+// identify finds the workspace of the request's key.
+func (j *job) identify() *answerer.Error {
+	if !j.matcher.Keyed() {
+		j.order.Tier = j.route.Tier
+
+		return nil
+	}
+	workspace, known := j.matcher.Workspace(j.envelope.Key)
+	if !known && !j.route.Public {
+		return j.unlessStale(answerer.New(answerer.KindUnauthorized, "The key is not known."))
+	}
+	j.keyed = !j.route.Public
+	if j.keyed && !j.relayer.control.Fresh() {
+		return j.stale()
+	}
+	j.order.Workspace = workspace.Name
+	j.order.Tier = j.route.Tier
+	if workspace.HasTier {
+		j.order.Tier = workspace.Tier
+	}
+
+	return nil
+}
+
+// read reads the body whole, so that it can be sent again.
+func (j *job) read() *answerer.Error {
+	limit := j.matcher.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.incoming.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return answerer.New(answerer.KindTooLarge, "The body is too large.")
+	case err != nil:
+		return answerer.Wrap(answerer.KindMalformed, "The body cannot be read.", err)
+	}
+	j.body = body
+
+	return nil
+}
+
+// limit finds the time by which the request must have its final answer.
+func (j *job) limit() {
+	patience := defaultPatience
+	if j.envelope.Patience > 0 {
+		patience = j.envelope.Patience
+	}
+	if j.route.Timeout > 0 {
+		patience = min(patience, j.route.Timeout)
+	}
+	j.deadline = j.received.Add(patience)
+}
+
+// aim finds the service and describes the request to the placer.
+func (j *job) aim() {
+	name := j.route.Service(j.relayer.random())
+	j.service, _ = j.matcher.Service(name)
+	j.ask = placer.Ask{Service: name}
+	if j.service.Engine != nil {
+		j.ask.Prompt = max(1, j.envelope.Prompt)
+		j.ask.Output = j.envelope.Output
+		j.ask.Parts = j.envelope.Parts
+	} else {
+		j.order.Tier = -1
+	}
+}
--- /dev/null
+++ b/internal/relayer/stream.go
@@ -0,0 +1,106 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/oleanderpick/oleanderpick/internal/common/sse"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
+)
+
+const (
+	// aliveInterval is how often a stream tells that its endpoint lives.
+	aliveInterval = 250 * time.Millisecond
+	// silenceMost is the silence of an endpoint on all its streams after
+	// which one that may be resumed goes on elsewhere.
+	silenceMost = 900 * time.Millisecond
+)
+
+func eventStream(header http.Header) bool {
+	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+
+	return err == nil && kind == "text/event-stream"
+}
+
+func eventID(id int64) string {
+	return strconv.FormatInt(id, 10)
+}
+
+// stream passes events on as they come, each of them whole.
+func (j *job) stream(ctx context.Context, t *trial) {
+	events := sse.NewRawReader(t.response.Body)
+	flusher := http.NewResponseController(j.w)
+	told := time.Time{}
+	for first := true; ; first = false {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			j.streamed(ctx, t)
+
+			return
+		}
+		if err != nil {
+			j.broken(ctx, t, errors.Wrap(err, "stream broke off"))
+
+			return
+		}
+		if event.Number >= 0 && event.Number <= j.after {
+			j.broken(ctx, t, errors.Errorf("event %d after event %d", event.Number, j.after))
+
+			return
+		}
+		if now := time.Now(); first {
+			j.relayer.control.First(t.placement)
+			told = now
+		} else if now.Sub(told) > aliveInterval {
+			j.relayer.control.Alive(t.placement)
+			told = now
+		}
+		if !j.begun {
+			j.begin(t.response, -1)
+			j.relayer.meter.Took("first-event", time.Since(j.received))
+		}
+		if err := j.forward(event, flusher, events.Pending()); err != nil {
+			j.broken(ctx, t, errors.Wrap(err, "caller left"))
+			t.result = placer.Canceled
+
+			return
+		}
+	}
+}
+
+// forward writes one event to the caller.
+func (j *job) forward(event sse.RawEvent, flusher *http.ResponseController, more bool) error {
+	if event.Number >= 0 {
+		j.after = event.Number
+	}
+	if _, err := j.w.Write(event.Bytes); err != nil {
+		return err
+	}
+	if more {
+		return nil
+	}
+
+	return flusher.Flush()
+}
+
+// streamed ends a stream that came to its end.
+func (j *job) streamed(ctx context.Context, t *trial) {
+	if !j.begun {
+		if ctx.Err() != nil {
+			j.broken(ctx, t, ctx.Err())
+
+			return
+		}
+		j.begin(t.response, -1)
+	}
+	t.done = true
+	t.result = placer.Finished
+	j.relayer.endpoints.Release(t.conn, t.response)
+	j.served(t)
+}
--- /dev/null
+++ b/internal/relayrunner/runner.go
@@ -0,0 +1,208 @@
+// Package relayrunner puts an instance together that relays opaque requests.
+// Every part is a service in one supervisor tree.
+package relayrunner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/oleanderpick/oleanderpick/internal/common/clock"
+	"github.com/oleanderpick/oleanderpick/internal/configurer"
+	"github.com/oleanderpick/oleanderpick/internal/connector"
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/internal/meter"
+	"github.com/oleanderpick/oleanderpick/internal/relayer"
+	"github.com/oleanderpick/oleanderpick/internal/storer"
+	"github.com/oleanderpick/oleanderpick/internal/watcher"
+	"github.com/oleanderpick/oleanderpick/pkg/retrier"
+)
+
+const (
+	// storeTimeout bounds a call of the platform. Two in a row and their
+	// interval stay below the two seconds in which a change must be known.
+	storeTimeout = 700 * time.Millisecond
+	// leaseMargin covers the way of a request to an endpoint after the check.
+	leaseMargin = 150 * time.Millisecond
+	// headerTimeout bounds how long a caller may take for a request's head.
+	headerTimeout = 10 * time.Second
+	// headerMost is the largest head in bytes; the configuration's limit is
+	// within it.
+	headerMost = 64 << 10
+	// noticed is the time after which the balancer, which asks once a second
+	// and believes the second answer, sends no new connections.
+	noticed = 3 * time.Second
+	// stopMargin is kept of the stop limit for the end of the process.
+	stopMargin = 700 * time.Millisecond
+	// sweepInterval is how often idle connections are looked through.
+	sweepInterval = 500 * time.Millisecond
+	// memoryShare is the part of the process's memory that Go's heap and
+	// stacks may take before the collector works harder.
+	memoryShare = 0.5
+)
+
+// Platform is how an instance speaks with the platform that it runs on.
+type Platform struct {
+	Dialect   storer.Dialect
+	Reader    watcher.Reader
+	Codec     relayer.Codec
+	ReadyPath string
+}
+
+// Runner is one relaying instance.
+type Runner struct {
+	settings configurer.Relay
+	logger   hclog.Logger
+	control  *dispatcher.Dispatcher
+	relayer  *relayer.Relayer
+	links    *connector.Connector
+	idlers   *idlers
+	tree     *suture.Supervisor
+	callers  *http.Server
+	status   *http.Server
+	leaving  atomic.Bool
+	done     chan struct{}
+}
+
+// New puts the parts together. Run starts them.
+func New(settings configurer.Relay, platform Platform, logger hclog.Logger) *Runner {
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare * (1 << 20)))
+	}
+	counters := meter.New()
+	r := &Runner{settings: settings, logger: logger.Named("runner"), done: make(chan struct{})}
+	r.control = dispatcher.New(dispatcher.Settings{
+		DataCentre: settings.DataCentre,
+		KeyLease:   settings.KeyLease - leaseMargin,
+		Return:     settings.EndpointReturn,
+		Retries: retrier.WindowSettings{
+			Length: settings.RetryWindow, Share: settings.RetryShare, Burst: settings.RetryBurst,
+		},
+	}, dispatcher.Clock{Now: time.Now, Boot: clock.Boot}, logger.Named("dispatcher"))
+	r.links = connector.New(connector.DefaultSettings())
+	r.relayer = relayer.New(platform.Codec, r.control, r.links, counters, logger.Named("relayer"), rand.Uint64)
+	store := storer.New(settings.Platform, &http.Client{Transport: storeTransport()}).
+		WithTimeout(storeTimeout).WithDialect(platform.Dialect)
+	reads := watcher.New(watcher.DefaultSettings(), store, platform.Reader, r.control, clock.Boot, logger.Named("watcher"))
+	r.idlers = newIdlers(r.idleTimeout)
+	r.callers = &http.Server{
+		Handler:           r.relayer,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    headerMost,
+		ConnState:         r.idlers.changed,
+		ErrorLog:          logger.Named("callers").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	r.status = &http.Server{Handler: r.statusHandler(platform.ReadyPath, counters), ReadHeaderTimeout: headerTimeout}
+	r.plant(logger.Named("supervisor"), reads)
+
+	return r
+}
+
+func storeTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     30 * time.Second,
+		DialContext:         (&net.Dialer{Timeout: storeTimeout}).DialContext,
+	}
+}
+
+// plant makes the supervisor tree.
+func (r *Runner) plant(logger hclog.Logger, reads *watcher.Watcher) {
+	r.tree = suture.New("oleanderpick", suture.Spec{EventHook: func(event suture.Event) {
+		logger.Warn("Service event.", "event", event.String())
+	}})
+	r.tree.Add(r.control)
+	r.tree.Add(reads)
+	r.tree.Add(&sweeper{links: r.links, idlers: r.idlers})
+}
+
+// idleTimeout is how long a caller's connection may stay idle; zero: no limit.
+func (r *Runner) idleTimeout() time.Duration {
+	if known := r.control.Matcher(); known != nil {
+		return known.Limits().IdleTimeout
+	}
+
+	return 0
+}
+
+func (r *Runner) statusHandler(readyPath string, counters *meter.Meter) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+readyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if r.leaving.Load() || !r.control.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", counters.Handler())
+
+	return mux
+}
+
+// Run serves until ctx ends, then stops as planned: new connections go
+// elsewhere once the balancer has noticed, and requests in flight end whole, as
+// long as the stop limit allows.
+func (r *Runner) Run(ctx context.Context) error {
+	defer close(r.done)
+	listeners, err := r.listen()
+	if err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ended := r.tree.ServeBackground(running)
+	failed := make(chan error, len(listeners))
+	for server, listener := range listeners {
+		go func() { failed <- server.Serve(listener) }()
+	}
+	r.logger.Info("Serving.", "name", r.settings.Name, "data centre", r.settings.DataCentre, "callers", r.settings.Listen)
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	r.stop()
+	cancel()
+	<-ended
+	r.links.Close()
+	r.logger.Info("Stopped.")
+
+	return nil
+}
+
+func (r *Runner) listen() (map[*http.Server]net.Listener, error) {
+	listeners := map[*http.Server]net.Listener{}
+	for address, server := range map[string]*http.Server{r.settings.Listen: r.callers, r.settings.StatusListen: r.status} {
+		var config net.ListenConfig
+		listener, err := config.Listen(context.Background(), "tcp", address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", address)
+		}
+		listeners[server] = listener
+	}
+
+	return listeners, nil
+}
+
+// stop ends what runs.
+func (r *Runner) stop() {
+	begun := time.Now()
+	limit := r.settings.StopLimit - stopMargin
+	r.logger.Info("Stopping.", "in flight", r.relayer.InFlight())
+	r.leaving.Store(true)
+	r.relayer.Leave()
+	time.Sleep(min(noticed, limit))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(limit))
+	defer cancel()
+	if err := r.callers.Shutdown(ctx); err != nil {
+		r.logger.Warn("Requests in flight are cut off.", "in flight", r.relayer.InFlight(), "error", err)
+		_ = r.callers.Close()
+	}
+	_ = r.status.Close()
+}
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -13,8 +13,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -37,13 +35,22 @@
 	base    string
 	client  *http.Client
 	timeout time.Duration
+	dialect Dialect
 }
 
 // New returns a client of the object API at base, such as
 // "http://10.0.0.1:7000". The HTTP client must be the store's own: its idle
 // connections are closed after a timeout.
 func New(base string, client *http.Client) *Client {
-	return &Client{base: base, client: client, timeout: defaultTimeout}
+	return &Client{base: base, client: client, timeout: defaultTimeout, dialect: native{}}
+}
+
+// WithDialect returns a client of a platform that speaks another dialect.
+func (c *Client) WithDialect(dialect Dialect) *Client {
+	changed := *c
+	changed.dialect = dialect
+
+	return &changed
 }
 
 // WithTimeout returns a client that gives up a call after the given time;
@@ -58,21 +65,24 @@
 // Get reads one object.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var object Object
-	_, err := c.do(ctx, call{method: http.MethodGet, path: objectPath(kind, name)}, &object)
+	_, err := c.do(ctx, Call{Verb: Get, Kind: kind, Name: name}, func(body []byte) (err error) {
+		object, err = c.dialect.Object(kind, body)
+
+		return err
+	})
 
 	return object, err
 }
 
 // List reads up to limit objects of a kind whose names come after the given
-// one, in the order of their names.
+// one, in the order of their names. A platform may return fewer.
 func (c *Client) List(ctx context.Context, kind, after string, limit int) (Page, error) {
-	query := url.Values{"limit": {strconv.Itoa(limit)}}
-	if after != "" {
-		query.Set("after", after)
-	}
-
 	var page Page
-	_, err := c.do(ctx, call{method: http.MethodGet, path: kindPath(kind), query: query}, &page)
+	_, err := c.do(ctx, Call{Verb: List, Kind: kind, After: after, Limit: limit}, func(body []byte) (err error) {
+		page, err = c.dialect.Page(kind, body)
+
+		return err
+	})
 
 	return page, err
 }
@@ -81,47 +91,33 @@
 func (c *Client) Put(
 	ctx context.Context, kind, name string, spec json.RawMessage, condition Condition,
 ) (Object, error) {
-	if len(spec) > MaxSpec {
-		return Object{}, failed(errors.Errorf("spec of %d bytes", len(spec)), ErrTooLarge)
-	}
-	body, err := json.Marshal(struct {
-		Spec json.RawMessage `json:"spec"`
-	}{spec})
-	if err != nil {
-		return Object{}, failed(err, ErrMalformed)
-	}
-
-	return c.write(ctx, objectPath(kind, name), body, condition)
+	return c.write(ctx, Call{Verb: Put, Kind: kind, Name: name, Value: spec, Condition: condition})
 }
 
 // PutStatus writes an object's status if the condition holds.
 func (c *Client) PutStatus(
 	ctx context.Context, kind, name string, status json.RawMessage, condition Condition,
 ) (Object, error) {
-	if len(status) > MaxSpec {
-		return Object{}, failed(errors.Errorf("status of %d bytes", len(status)), ErrTooLarge)
-	}
-	body, err := json.Marshal(struct {
-		Status json.RawMessage `json:"status"`
-	}{status})
-	if err != nil {
-		return Object{}, failed(err, ErrMalformed)
-	}
-
-	return c.write(ctx, objectPath(kind, name)+"/status", body, condition)
+	return c.write(ctx, Call{Verb: PutStatus, Kind: kind, Name: name, Value: status, Condition: condition})
 }
 
-func (c *Client) write(ctx context.Context, path string, body []byte, condition Condition) (Object, error) {
+func (c *Client) write(ctx context.Context, call Call) (Object, error) {
+	if len(call.Value) > MaxSpec {
+		return Object{}, failed(errors.Errorf("%s of %d bytes", call.Verb, len(call.Value)), ErrTooLarge)
+	}
 	var object Object
-	_, err := c.do(ctx, call{method: http.MethodPut, path: path, body: body, condition: condition}, &object)
+	_, err := c.do(ctx, call, func(body []byte) (err error) {
+		object, err = c.dialect.Object(call.Kind, body)
+
+		return err
+	})
 
 	return object, err
 }
 
 // Delete removes an object if the condition holds.
 func (c *Client) Delete(ctx context.Context, kind, name string, condition Condition) error {
-	deletion := call{method: http.MethodDelete, path: objectPath(kind, name), condition: condition}
-	_, err := c.do(ctx, deletion, nil)
+	_, err := c.do(ctx, Call{Verb: Delete, Kind: kind, Name: name, Condition: condition}, nil)
 
 	return err
 }
@@ -131,8 +127,12 @@
 func (c *Client) Watch(
 	ctx context.Context, kind, name string, version uint64, wait time.Duration,
 ) (object Object, changed bool, err error) {
-	watch := call{method: http.MethodGet, path: objectPath(kind, name), query: watchQuery(version, wait), wait: wait}
-	changed, err = c.do(ctx, watch, &object)
+	watch := Call{Verb: Watch, Kind: kind, Name: name, Version: version, Wait: wait}
+	changed, err = c.do(ctx, watch, func(body []byte) (err error) {
+		object, err = c.dialect.Object(kind, body)
+
+		return err
+	})
 
 	return object, changed, err
 }
@@ -142,8 +142,12 @@
 func (c *Client) WatchKind(
 	ctx context.Context, kind string, revision uint64, wait time.Duration,
 ) (changes Changes, changed bool, err error) {
-	watch := call{method: http.MethodGet, path: kindPath(kind), query: watchQuery(revision, wait), wait: wait}
-	changed, err = c.do(ctx, watch, &changes)
+	watch := Call{Verb: Watch, Kind: kind, Version: revision, Wait: wait}
+	changed, err = c.do(ctx, watch, func(body []byte) (err error) {
+		changes, err = c.dialect.Changes(kind, body)
+
+		return err
+	})
 
 	return changes, changed, err
 }
@@ -153,53 +157,35 @@
 	var list struct {
 		Instances []Instance `json:"instances"`
 	}
-	_, err := c.do(ctx, call{method: http.MethodGet, path: "/instances"}, &list)
+	_, err := c.do(ctx, Call{Verb: List, Kind: instanceList}, func(body []byte) error {
+		return json.Unmarshal(body, &list)
+	})
 
 	return list.Instances, err
 }
 
-func objectPath(kind, name string) string {
-	return kindPath(kind) + "/" + url.PathEscape(name)
-}
-
-func kindPath(kind string) string {
-	return "/objects/" + url.PathEscape(kind)
-}
-
-func watchQuery(version uint64, wait time.Duration) url.Values {
-	return url.Values{"watch": {strconv.FormatUint(version, 10)}, "wait": {wait.String()}}
-}
-
-// call is one request to the store.
-type call struct {
-	method    string
-	path      string
-	query     url.Values
-	body      []byte
-	condition Condition
-	wait      time.Duration
-}
-
-func (c call) writes() bool {
-	return c.method != http.MethodGet
-}
-
 // do makes a call and decodes its answer; it reports false when the answer is
 // that nothing changed.
-func (c *Client) do(ctx context.Context, call call, answer any) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+call.wait)
+func (c *Client) do(ctx context.Context, call Call, decode func([]byte) error) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+call.Wait)
 	defer cancel()
 
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
-	request, err := http.NewRequestWithContext(ctx, call.method, c.base+call.path, bytes.NewReader(call.body))
+	message, err := c.dialect.Encode(call)
 	if err != nil {
 		return false, failed(err, ErrMalformed)
 	}
-	request.URL.RawQuery = call.query.Encode()
-	call.condition.apply(request.Header)
+	request, err := http.NewRequestWithContext(ctx, message.Method, c.base+message.Path, bytes.NewReader(message.Body))
+	if err != nil {
+		return false, failed(err, ErrMalformed)
+	}
+	request.URL.RawQuery = message.Query.Encode()
+	for name, value := range message.Header {
+		request.Header.Set(name, value)
+	}
 
 	response, err := c.client.Do(request)
 	if err != nil {
@@ -212,7 +198,7 @@
 		return false, c.lost(err, call.writes())
 	}
 
-	return decode(call, response.StatusCode, body, answer)
+	return c.understand(call, response.StatusCode, body, decode)
 }
 
 // lost is the error of a call whose answer did not come.
@@ -226,17 +212,17 @@
 	return failed(err, ErrDown)
 }
 
-func decode(call call, status int, body []byte, answer any) (bool, error) {
+func (c *Client) understand(call Call, status int, body []byte, decode func([]byte) error) (bool, error) {
 	if status == http.StatusNotModified {
 		return false, nil
 	}
 	if status/100 != 2 {
-		return false, refusal(call, status, body)
+		return false, c.refusal(call, status, body)
 	}
-	if answer == nil {
+	if decode == nil {
 		return true, nil
 	}
-	if err := json.Unmarshal(body, answer); err != nil {
+	if err := decode(body); err != nil {
 		if call.writes() {
 			return false, failed(err, ErrUncertain)
 		}
@@ -250,18 +236,18 @@
 // refusal maps an error status. Only the store's own 503 and 429 prove that a
 // write was not applied; any other server error may come from a device that
 // lost the answer.
-func refusal(call call, status int, body []byte) error {
-	cause := errors.Errorf("%s %s: status %d", call.method, call.path, status)
+func (c *Client) refusal(call Call, status int, body []byte) error {
+	cause := errors.Errorf("%s %s/%s: status %d", call.Verb, call.Kind, call.Name, status)
 	switch status {
 	case http.StatusNotFound:
 		return failed(cause, ErrNotFound)
-	case http.StatusPreconditionFailed:
-		conflict := &ConflictError{}
-		if err := json.Unmarshal(body, &conflict.Current); err != nil {
+	case c.dialect.ConflictStatus():
+		current, err := c.dialect.Object(call.Kind, body)
+		if err != nil {
 			return failed(err, ErrUncertain)
 		}
 
-		return conflict
+		return &ConflictError{Current: current}
 	case http.StatusTooManyRequests:
 		return failed(cause, ErrLimited, ErrDown)
 	case http.StatusRequestEntityTooLarge:
--- a/internal/storer/object.go
+++ b/internal/storer/object.go
@@ -1,10 +1,6 @@
 package storer
 
-import (
-	"encoding/json"
-	"net/http"
-	"strconv"
-)
+import "encoding/json"
 
 // Object is one object of the platform.
 type Object struct {
@@ -69,10 +65,13 @@
 	return Condition{absent: true}
 }
 
-func (c Condition) apply(header http.Header) {
-	if c.absent {
-		header.Set("If-None-Match", "*")
-	} else if c.version > 0 {
-		header.Set("If-Match", strconv.FormatUint(c.version, 10))
-	}
+// Version returns the version that the object must have; false when the
+// condition names none.
+func (c Condition) Version() (uint64, bool) {
+	return c.version, c.version > 0
+}
+
+// IsAbsent reports whether there must be no such object.
+func (c Condition) IsAbsent() bool {
+	return c.absent
 }
--- a/pkg/answerer/answer.go
+++ b/pkg/answerer/answer.go
@@ -79,6 +79,7 @@
 	KindTruncated:         row("truncated", http.StatusBadGateway, Partial, shortWait),
 	KindTimeout:           row("timeout", http.StatusGatewayTimeout, Unknown, 0),
 	KindCanceled:          row("canceled", statusClientClosed, Unknown, 0),
+	KindNoConfiguration:   row("no-configuration", http.StatusServiceUnavailable, NotRun, shortWait),
 	KindInternal:          row("internal", http.StatusInternalServerError, Unknown, 0),
 }
 
--- a/pkg/answerer/kind.go
+++ b/pkg/answerer/kind.go
@@ -67,6 +67,9 @@
 	KindCanceled
 	// KindInternal is a fault of the router itself.
 	KindInternal
+	// KindNoConfiguration is a request that reached an instance before it
+	// knew a configuration.
+	KindNoConfiguration
 
 	kindCount
 )
--- /dev/null
+++ b/pkg/placer/ask.go
@@ -0,0 +1,84 @@
+package placer
+
+import "time"
+
+// Part is a piece of a prompt that other prompts may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Ask describes a request to place.
+type Ask struct {
+	Service string
+	// Prompt and Output are token counts; zero at plain services.
+	Prompt, Output int
+	// Parts are the prompt's parts in order. The last is the request's own.
+	Parts []Part
+	// Avoid are endpoints that failed or refused this request.
+	Avoid []string
+}
+
+// family is the part that the request shares with the fewest others; zero:
+// none.
+func (a *Ask) family() uint64 {
+	if len(a.Parts) < 2 {
+		return 0
+	}
+
+	return a.Parts[len(a.Parts)-2].ID
+}
+
+// shared is the number of prompt tokens in parts that others may have too.
+func (a *Ask) shared() int {
+	tokens := 0
+	for i := 0; i < len(a.Parts)-1; i++ {
+		tokens += a.Parts[i].Tokens
+	}
+
+	return tokens
+}
+
+// Choice is the endpoint that a request goes to.
+type Choice struct {
+	ID      string
+	Address string
+	// Expected is the predicted time to the first token; zero at plain
+	// services.
+	Expected time.Duration
+	// Fresh is the prompt tokens that the engine will have to read.
+	Fresh int
+	// Long tells that the request counts as long.
+	Long bool
+}
+
+// Result is how a try at an endpoint ended.
+type Result int
+
+// The results.
+const (
+	// Finished is a whole answer, of whatever status.
+	Finished Result = iota
+	// Refused is a refusal for want of room.
+	Refused
+	// Failed is an answer that did not come, broke off, or says that the
+	// endpoint is at fault.
+	Failed
+	// Misdirected means that another endpoint has the address.
+	Misdirected
+	// Canceled is a try that nobody waited for any more.
+	Canceled
+)
+
+// String returns the result as logs show it.
+func (r Result) String() string {
+	return [...]string{"finished", "refused", "failed", "misdirected", "canceled"}[r]
+}
+
+// Load is what one instance has at an endpoint.
+type Load struct {
+	// Running is the requests in flight.
+	Running int
+	// Pending is the prompt tokens still to be read.
+	Pending int
+}
--- /dev/null
+++ b/pkg/placer/endpoint.go
@@ -0,0 +1,97 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/oleanderpick/oleanderpick/pkg/registrar"
+)
+
+// endpoint is the state of one registered endpoint.
+type endpoint struct {
+	registrar.Endpoint
+
+	rank     uint64 // its place in the order of its service's group
+	own      Load
+	peers    map[string]peerLoad
+	cache    *cache
+	failures int
+	share    float64 // of failures, decaying
+	ejected  int     // ejections in a row
+	until    time.Time
+	refused  time.Time
+	wrong    bool // another endpoint has its address
+	alive    time.Time
+}
+
+type peerLoad struct {
+	Load
+	at time.Time
+}
+
+func newEndpoint(registered registrar.Endpoint) *endpoint {
+	return &endpoint{
+		Endpoint: registered,
+		rank:     hash(registered.ID, 0),
+		peers:    map[string]peerLoad{},
+		cache:    newCache(partsMost),
+	}
+}
+
+// open reports whether the endpoint may get new requests at all.
+func (e *endpoint) open() bool {
+	return !e.Draining && !e.wrong
+}
+
+// willing reports whether the endpoint is expected to take a request.
+func (e *endpoint) willing(now time.Time) bool {
+	return !now.Before(e.refused) && !now.Before(e.until)
+}
+
+// load is what runs at the endpoint, as far as is known.
+func (e *endpoint) load(now time.Time) Load {
+	sum := e.own
+	for name, peer := range e.peers {
+		if now.Sub(peer.at) > peerMemory {
+			delete(e.peers, name)
+
+			continue
+		}
+		sum.Running += peer.Running
+		sum.Pending += peer.Pending
+	}
+
+	return sum
+}
+
+// settle takes in how a try ended.
+func (e *endpoint) settle(now time.Time, result Result) {
+	switch result {
+	case Finished:
+		e.share -= failureMemory * e.share
+		e.failures, e.ejected = 0, 0
+		e.alive = now
+	case Refused:
+		e.refused = now.Add(refusedFor)
+		e.alive = now
+	case Misdirected:
+		e.wrong = true
+	case Failed:
+		e.share += failureMemory * (1 - e.share)
+		e.failures++
+		if e.failures >= ejectAfter {
+			e.eject(now)
+		}
+	case Canceled:
+	}
+}
+
+// eject keeps requests away for a while. The next one after it is a probe: a
+// further failure ejects for longer.
+func (e *endpoint) eject(now time.Time) {
+	if now.Before(e.until) {
+		return
+	}
+	e.until = now.Add(min(ejectMost, ejectFor<<min(e.ejected, 4)))
+	e.ejected++
+	e.cache.clear()
+}
--- /dev/null
+++ b/pkg/placer/placer.go
@@ -0,0 +1,199 @@
+package placer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/oleanderpick/oleanderpick/pkg/registrar"
+)
+
+// Placer chooses endpoints.
+type Placer struct {
+	settings  Settings
+	endpoints map[string]*endpoint
+	services  map[string]*group
+	requests  map[uint64]*request
+}
+
+// request is one of the own requests in flight.
+type request struct {
+	endpoint *endpoint
+	group    *group
+	ask      Ask
+	fresh    int
+	long     bool
+	ahead    int // prompt tokens that were to be read before its own
+	started  time.Time
+	begun    bool
+}
+
+// New returns a placer without endpoints.
+func New(settings Settings) *Placer {
+	return &Placer{
+		settings:  settings.withDefaults(),
+		endpoints: map[string]*endpoint{},
+		services:  map[string]*group{},
+		requests:  map[uint64]*request{},
+	}
+}
+
+// Configure replaces the set of endpoints. One that stays keeps its state,
+// unless it was born anew.
+func (p *Placer) Configure(registered []registrar.Endpoint) {
+	known := p.endpoints
+	p.endpoints = make(map[string]*endpoint, len(registered))
+	for _, g := range p.services {
+		g.endpoints = g.endpoints[:0]
+	}
+	for _, r := range registered {
+		e := known[r.ID]
+		if e == nil || e.Born != r.Born || e.Address != r.Address {
+			e = newEndpoint(r)
+		}
+		e.Endpoint = r
+		p.endpoints[r.ID] = e
+		g := p.group(r.Service)
+		g.endpoints = append(g.endpoints, e)
+	}
+	for _, g := range p.services {
+		slices.SortFunc(g.endpoints, func(a, b *endpoint) int {
+			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.ID, b.ID))
+		})
+	}
+}
+
+func (p *Placer) group(service string) *group {
+	g := p.services[service]
+	if g == nil {
+		g = newGroup(p.settings)
+		p.services[service] = g
+	}
+
+	return g
+}
+
+// Pick chooses an endpoint. It returns false when the service has none that
+// may take the request.
+func (p *Placer) Pick(now time.Time, ask Ask) (Choice, bool) {
+	g := p.services[ask.Service]
+	if g == nil {
+		return Choice{}, false
+	}
+	s := search{group: g, ask: &ask, now: now, dataCentre: p.settings.DataCentre}
+	s.collect()
+	if len(s.candidates) == 0 {
+		return Choice{}, false
+	}
+	if ask.Prompt == 0 {
+		e := s.plain()
+
+		return Choice{ID: e.ID, Address: e.Address}, true
+	}
+
+	return s.engine(), true
+}
+
+// Start records that own request id was sent.
+func (p *Placer) Start(now time.Time, id uint64, choice Choice, ask Ask) {
+	e := p.endpoints[choice.ID]
+	if e == nil {
+		return
+	}
+	g := p.group(ask.Service)
+	p.requests[id] = &request{
+		endpoint: e, group: g, ask: ask, fresh: choice.Fresh, long: choice.Long,
+		ahead: e.load(now).Pending, started: now,
+	}
+	e.own.Running++
+	e.own.Pending += choice.Fresh
+	if ask.Prompt > 0 {
+		g.demand.arrive(now, choice)
+		e.cache.add(ask.Parts)
+	}
+}
+
+// First records the first event of request id.
+func (p *Placer) First(now time.Time, id uint64) {
+	r := p.requests[id]
+	if r == nil || r.begun {
+		return
+	}
+	r.begun = true
+	r.endpoint.own.Pending -= r.fresh
+	r.endpoint.alive = now
+	r.group.observe(r.fresh+r.ahead, now.Sub(r.started))
+}
+
+// Alive records that something came from request id's endpoint.
+func (p *Placer) Alive(now time.Time, id uint64) {
+	if r := p.requests[id]; r != nil {
+		r.endpoint.alive = now
+	}
+}
+
+// LastAlive returns when something last came from an endpoint; zero: never.
+func (p *Placer) LastAlive(id string) time.Time {
+	if e := p.endpoints[id]; e != nil {
+		return e.alive
+	}
+
+	return time.Time{}
+}
+
+// End records how request id's try ended.
+func (p *Placer) End(now time.Time, id uint64, result Result) {
+	r := p.requests[id]
+	if r == nil {
+		return
+	}
+	delete(p.requests, id)
+	r.endpoint.own.Running--
+	if !r.begun {
+		r.endpoint.own.Pending -= r.fresh
+	}
+	if r.ask.Prompt > 0 {
+		r.group.demand.leave(now, r.long, r.begun, now.Sub(r.started))
+	}
+	r.endpoint.settle(now, result)
+}
+
+// Loads returns what this instance has at each endpoint that it uses.
+func (p *Placer) Loads() map[string]Load {
+	loads := map[string]Load{}
+	for id, e := range p.endpoints {
+		if e.own != (Load{}) {
+			loads[id] = e.own
+		}
+	}
+
+	return loads
+}
+
+// Heard takes in what another instance has at the endpoints. What it does not
+// name, it does not use.
+func (p *Placer) Heard(now time.Time, peer string, loads map[string]Load) {
+	for id, e := range p.endpoints {
+		load, ok := loads[id]
+		if !ok {
+			delete(e.peers, peer)
+
+			continue
+		}
+		e.peers[peer] = peerLoad{Load: load, at: now}
+	}
+}
+
+// hash gives a name a rank that is the same on every instance.
+func hash(name string, key uint64) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	x := h.Sum64() ^ key*0x9e3779b97f4a7c15
+
+	// The finalizer of splitmix64 spreads the bits.
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+
+	return x ^ x>>31
+}
--- /dev/null
+++ b/pkg/placer/settings.go
@@ -0,0 +1,72 @@
+package placer
+
+import "time"
+
+// Settings tune a Placer. A zero value means the default.
+type Settings struct {
+	// DataCentre is this instance's.
+	DataCentre string
+	// LongPrompt is the number of uncached prompt tokens from which on a
+	// prompt is kept away from streams. An engine that reads this many holds
+	// up its streams for several chunks.
+	LongPrompt int
+	// PrefillRate is the prompt tokens that an engine reads in a
+	// millisecond, until it was observed.
+	PrefillRate float64
+}
+
+const (
+	// defaultLongPrompt is two usual chunks of chunked prefill, in tokens.
+	defaultLongPrompt = 4096
+	// defaultPrefillRate is that of the slowest engine planned for, in tokens
+	// a millisecond.
+	defaultPrefillRate = 35
+	// batchTarget is the streams that one engine of the group for short
+	// prompts runs at the planned pace.
+	batchTarget = 32
+	// busyTarget is the share of its time that an engine may spend on
+	// reading prompts before they wait for each other.
+	busyTarget = 0.5
+	// demandMemory is the time constant of the observed demand.
+	demandMemory = 3 * time.Second
+	// remotePenalty is how many requests more the own data centre may run
+	// before another one is taken; a way there and back takes a few
+	// milliseconds, about what one more request in a batch costs.
+	remotePenalty = 1.0
+	// refusedFor is how long an endpoint that refused for want of room is
+	// passed over.
+	refusedFor = 150 * time.Millisecond
+	// ejectAfter is the number of failures in a row that eject an endpoint.
+	ejectAfter = 2
+	// ejectFor is the first ejection; it doubles with each in a row.
+	ejectFor = 500 * time.Millisecond
+	// ejectMost is the longest ejection.
+	ejectMost = 4 * time.Second
+	// failureMemory is the weight of one more result in the share of failures.
+	failureMemory = 0.15
+	// failureExcess is how far an endpoint's share of failures may lie over
+	// that of its peers.
+	failureExcess = 0.25
+	// peerMemory is how long the word of another instance counts.
+	peerMemory = time.Second
+	// partsMost is the cached parts remembered for one engine.
+	partsMost = 1024
+	// moveGain is by how much sooner another engine must give the first token
+	// before a family of prompts leaves its own. Every move makes an engine
+	// read the shared part again.
+	moveGain = 120 * time.Millisecond
+	// stepTime is the share that one running stream adds to the wait for a
+	// first token.
+	stepTime = 500 * time.Microsecond
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.LongPrompt <= 0 {
+		s.LongPrompt = defaultLongPrompt
+	}
+	if s.PrefillRate <= 0 {
+		s.PrefillRate = defaultPrefillRate
+	}
+
+	return s
+}
--- /dev/null
+++ b/pkg/retrier/attempt.go
@@ -0,0 +1,53 @@
+package retrier
+
+import "time"
+
+// Attempt is what is known of a relayed request after a try that gave no
+// answer to pass on.
+type Attempt struct {
+	// Ran tells that a try may have run.
+	Ran bool
+	// Repeatable requests may run more than once.
+	Repeatable bool
+	// Begun tells that a part of the answer has left for the caller.
+	Begun bool
+	// Runs is the tries that may have run, of at most MostRuns.
+	Runs, MostRuns int
+	// Refusals is the tries that certainly did not run.
+	Refusals int
+	// Remaining is the time left.
+	Remaining time.Duration
+}
+
+const (
+	// mostRefusals bounds how often one request is offered to endpoints that
+	// refuse it.
+	mostRefusals = 3
+	// leastRemaining is the time below which another try is of no use.
+	leastRemaining = 20 * time.Millisecond
+)
+
+// Reasons for not repeating a relayed request.
+const (
+	ReasonNone     = ""
+	ReasonRefusals = "refusals"
+)
+
+// Allowed returns why the attempt may not be repeated; ReasonNone: it may, if
+// the Window has a repeat left.
+func (a Attempt) Allowed() string {
+	switch {
+	case a.Remaining < leastRemaining:
+		return ReasonDeadline
+	case a.Refusals >= mostRefusals:
+		return ReasonRefusals
+	case a.Runs == 0 && !a.Ran:
+		return ReasonNone
+	case !a.Repeatable:
+		return ReasonMayHaveRun
+	case a.Runs >= a.MostRuns:
+		return ReasonTries
+	}
+
+	return ReasonNone
+}
--- /dev/null
+++ b/pkg/retrier/window.go
@@ -0,0 +1,86 @@
+package retrier
+
+import "time"
+
+// WindowSettings are the bounds on repeats that all instances keep together.
+type WindowSettings struct {
+	// Length is the time over which first tries and repeats are counted.
+	Length time.Duration
+	// Share is the repeats allowed for each first try.
+	Share float64
+	// Burst is the repeats allowed beside, over all instances.
+	Burst float64
+}
+
+const (
+	// windowSteps is the parts in which a window moves on.
+	windowSteps = 20
+	// windowMargin is the share of the bound that is used: instances count
+	// the same requests at slightly different times.
+	windowMargin = 0.8
+)
+
+// Window bounds the repeats of each service in every span of a given length.
+// Each instance spends its part of the burst. The service names come from the
+// configuration, which bounds the state.
+type Window struct {
+	settings  WindowSettings
+	instances int
+	services  map[string]*counts
+}
+
+// counts is a ring of steps.
+type counts struct {
+	step    int64
+	first   [windowSteps]float64
+	repeats [windowSteps]float64
+}
+
+// NewWindow returns a window in which nothing was sent yet.
+func NewWindow(settings WindowSettings) *Window {
+	return &Window{settings: settings, instances: 1, services: map[string]*counts{}}
+}
+
+// Shared tells how many instances spend from the bound.
+func (w *Window) Shared(instances int) {
+	w.instances = max(1, instances)
+}
+
+// First counts a first try at a service.
+func (w *Window) First(now time.Time, service string) {
+	c := w.counts(now, service)
+	c.first[c.step%windowSteps]++
+}
+
+// Repeat takes a repeat from the bound and reports whether there was one left.
+func (w *Window) Repeat(now time.Time, service string) bool {
+	c := w.counts(now, service)
+	first, repeats := 0.0, 0.0
+	for i := range windowSteps {
+		first += c.first[i]
+		repeats += c.repeats[i]
+	}
+	allowed := windowMargin * (w.settings.Share*first + w.settings.Burst/float64(w.instances))
+	if repeats+1 > allowed {
+		return false
+	}
+	c.repeats[c.step%windowSteps]++
+
+	return true
+}
+
+// counts returns the ring of a service, moved on to the present.
+func (w *Window) counts(now time.Time, service string) *counts {
+	c := w.services[service]
+	if c == nil {
+		c = &counts{}
+		w.services[service] = c
+	}
+	step := now.UnixNano() / max(1, int64(w.settings.Length)/windowSteps)
+	for i := max(c.step+1, step-windowSteps+1); i <= step; i++ {
+		c.first[i%windowSteps], c.repeats[i%windowSteps] = 0, 0
+	}
+	c.step = max(c.step, step)
+
+	return c
+}
