placer, gossiper: Share loads, demand and reads between instances

An engine's cached parts were known only to the instance that sent them.

Change: instances exchange their requests, demand and what engines read for them every 100 ms with two others; the border follows running streams and unread prompts of all; long prompts are put off from engines with streams; full engines are passed over; SIGHUP reloads settings instead of ending the process.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -112,6 +112,17 @@
 	return exitOK
 }
 
+// reloads calls reload on each SIGHUP, until the process ends.
+func reloads(reload func()) {
+	caught := make(chan os.Signal, 1)
+	signal.Notify(caught, syscall.SIGHUP)
+	go func() {
+		for range caught {
+			reload()
+		}
+	}()
+}
+
 func signals() (stop, force context.Context) {
 	stop, stopNow := context.WithCancel(context.Background())
 	force, forceNow := context.WithCancel(context.Background())
--- a/internal/commands/relay.go
+++ b/internal/commands/relay.go
@@ -37,6 +37,13 @@
 		Codec:     platform.Headers{},
 		ReadyPath: platform.ReadyPath,
 	}, logger)
+	reloads(func() {
+		if reloaded, err := c.relaySettings(arguments); err != nil {
+			logger.Error("Settings are not reloaded.", "error", err)
+		} else {
+			runner.Reload(reloaded)
+		}
+	})
 	if err := runner.Run(stop); err != nil {
 		logger.Error("Instance failed.", "error", err)
 
--- a/internal/dispatcher/knowledge.go
+++ b/internal/dispatcher/knowledge.go
@@ -21,13 +21,18 @@
 			d.current.Store(configuration)
 			d.logger.Info("Configuration is in force.", "number", configuration.Number())
 		}
-		d.lease.Confirm(sent)
-		if age, known := d.lease.Age(sent); known {
-			d.freshUntil.Store(int64(sent - age + d.lifetime))
-		}
+		d.confirm(sent)
 	})
 }
 
+// confirm renews the lease on what is known.
+func (d *Dispatcher) confirm(at time.Duration) {
+	d.lease.Confirm(at)
+	if age, known := d.lease.Age(at); known {
+		d.freshUntil.Store(int64(at - age + d.lifetime))
+	}
+}
+
 // Listed takes in the whole registry of endpoints.
 func (d *Dispatcher) Listed(endpoints []registrar.Endpoint) {
 	d.do(func() {
--- /dev/null
+++ b/internal/gossiper/choose.go
@@ -0,0 +1,58 @@
+package gossiper
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// choose returns the members to tell in this round, those first that were not
+// told for the longest time.
+func (g *Gossiper) choose(now time.Time) []*member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rounds++
+	var due []*member
+	for address, m := range g.members {
+		silent := now.Sub(m.heard)
+		if silent > forgetAfter && now.Sub(m.added) > forgetAfter && !slices.Contains(g.settings.Seeds, address) {
+			delete(g.members, address)
+
+			continue
+		}
+		if m.busy || (silent > liveFor && now.Sub(m.tried) < retrySilent) {
+			continue
+		}
+		due = append(due, m)
+	}
+	slices.SortFunc(due, func(a, b *member) int {
+		if order := a.tried.Compare(b.tried); order != 0 {
+			return order
+		}
+
+		return strings.Compare(a.address, b.address)
+	})
+	if g.rounds > greetRounds {
+		due = due[:min(len(due), g.settings.Fanout)]
+	}
+	for _, m := range due {
+		m.busy, m.tried = true, now
+	}
+
+	return due
+}
+
+// addresses are those of the instances that were heard lately.
+func (g *Gossiper) addresses() []string {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var known []string
+	for address, m := range g.members {
+		if now.Sub(m.heard) < liveFor {
+			known = append(known, address)
+		}
+	}
+
+	return known
+}
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,229 @@
+// Package gossiper is how relaying instances tell each other what they know:
+// their requests at endpoints, the demand they see, requests that crash
+// endpoints, how fresh their configuration is, and who else there is.
+//
+// Each round an instance exchanges a word with a few others, so that the cost
+// for an instance does not grow with their number. Nothing waits for it: an
+// instance that hears nobody decides by what it sees itself.
+package gossiper
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
+	"github.com/oleanderpick/oleanderpick/internal/meter"
+)
+
+// Settings are a gossiper's limits.
+type Settings struct {
+	// Name and Address are this instance's.
+	Name, Address string
+	// Incarnation tells the starts of the instance apart; it grows.
+	Incarnation uint64
+	// Seeds are addresses of some other instances. They may be stale.
+	Seeds []string
+	// Interval is the time between two rounds.
+	Interval time.Duration
+	// Fanout is the number of others told in a round.
+	Fanout int
+	// Timeout is the longest time that one exchange may take.
+	Timeout time.Duration
+}
+
+// DefaultSettings returns the settings of an instance in a small fleet, whose
+// load reports must be younger than the usual first token.
+func DefaultSettings() Settings {
+	return Settings{Interval: 100 * time.Millisecond, Fanout: 2, Timeout: 300 * time.Millisecond}
+}
+
+const (
+	// membersMost bounds the addresses that are remembered.
+	membersMost = 1024
+	// forgetAfter is the silence after which an address is forgotten, unless
+	// it is a seed.
+	forgetAfter = time.Minute
+	// liveFor is the silence up to which an instance counts.
+	liveFor = 4 * time.Second
+	// retrySilent is how often an address that does not answer is tried.
+	retrySilent = time.Second
+	// greetRounds is the rounds after the start in which all known addresses
+	// are asked, so that a new instance knows the fleet at once.
+	greetRounds = 10
+)
+
+// Gossiper exchanges words with the other instances.
+type Gossiper struct {
+	settings Settings
+	control  *dispatcher.Dispatcher
+	client   *http.Client
+	meter    *meter.Meter
+	logger   hclog.Logger
+	handler  http.Handler
+	done     chan struct{}
+
+	mu      sync.Mutex
+	members map[string]*member // by address
+	leaving bool
+	rounds  int
+}
+
+// member is another instance, or an address that may be one's.
+type member struct {
+	address     string
+	name        string
+	incarnation uint64
+	leaving     bool
+	heard       time.Time // last word from it
+	tried       time.Time // last try of ours
+	added       time.Time
+	busy        bool
+}
+
+// New returns a gossiper that knows the seeds.
+func New(settings Settings, control *dispatcher.Dispatcher, client *http.Client, counters *meter.Meter, logger hclog.Logger) *Gossiper {
+	g := &Gossiper{
+		settings: settings,
+		control:  control,
+		client:   client,
+		meter:    counters,
+		logger:   logger,
+		done:     make(chan struct{}),
+		members:  map[string]*member{},
+	}
+	g.handler = gossipwire.NewGossipServer(&service{gossiper: g})
+	g.Meet(settings.Seeds)
+
+	return g
+}
+
+// Handler serves the calls of the other instances.
+func (g *Gossiper) Handler() http.Handler {
+	return g.handler
+}
+
+// String returns the name that the supervisor logs.
+func (g *Gossiper) String() string {
+	return "gossiper"
+}
+
+// Done is closed when the rounds have ended.
+func (g *Gossiper) Done() <-chan struct{} {
+	return g.done
+}
+
+// Meet takes in addresses that may be instances'.
+func (g *Gossiper) Meet(addresses []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, address := range addresses {
+		if address == "" || address == g.settings.Address || g.members[address] != nil || len(g.members) >= membersMost {
+			continue
+		}
+		g.members[address] = &member{address: address, added: time.Now()}
+	}
+}
+
+// Leave tells the others that this instance stops.
+func (g *Gossiper) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+}
+
+// Serve runs the rounds until ctx ends.
+func (g *Gossiper) Serve(ctx context.Context) error {
+	defer close(g.done)
+	ticker := time.NewTicker(g.settings.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			for _, chosen := range g.choose(now) {
+				go g.tell(ctx, chosen)
+			}
+			g.control.Shared(g.count(now))
+		}
+	}
+}
+
+// count is the number of instances, this one among them.
+func (g *Gossiper) count(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 1
+	for _, m := range g.members {
+		if now.Sub(m.heard) < forgetAfter || (m.name == "" && now.Sub(m.added) < liveFor) {
+			count++
+		}
+	}
+
+	return count
+}
+
+// tell exchanges a word with a member.
+func (g *Gossiper) tell(ctx context.Context, m *member) {
+	ctx, cancel := context.WithTimeout(ctx, g.settings.Timeout)
+	defer cancel()
+	sent := g.control.Boot()
+	reply, err := gossipwire.NewGossipProtobufClient("http://"+m.address, g.client).Tell(ctx, g.word(0))
+	g.mu.Lock()
+	m.busy = false
+	g.mu.Unlock()
+	if err != nil {
+		g.meter.Add("gossip.missed", 1)
+		g.client.CloseIdleConnections()
+
+		return
+	}
+	g.meter.Add("gossip.told", 1)
+	g.hear(reply)
+	g.control.Vouched(sent, reply.GetNumber(), time.Duration(reply.GetAgeMs())*time.Millisecond)
+}
+
+// hear takes in a word.
+func (g *Gossiper) hear(word *gossipwire.Word) {
+	now := time.Now()
+	if !g.note(now, word) {
+		return
+	}
+	g.Meet(word.GetMembers())
+	g.control.Heard(word.GetName(), decodeWord(word))
+}
+
+// note records who spoke; false: an earlier start of an instance did.
+func (g *Gossiper) note(now time.Time, word *gossipwire.Word) bool {
+	g.Meet([]string{word.GetAddress()})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[word.GetAddress()]
+	if m == nil || word.GetIncarnation() < m.incarnation {
+		return false
+	}
+	if m.incarnation != word.GetIncarnation() || m.leaving != word.GetLeaving() {
+		g.logger.Info("Instance is known.", "peer", word.GetName(), "address", m.address,
+			"incarnation", word.GetIncarnation(), "leaving", word.GetLeaving())
+	}
+	m.name, m.incarnation, m.leaving, m.heard = word.GetName(), word.GetIncarnation(), word.GetLeaving(), now
+
+	return true
+}
+
+// service answers the peers' calls.
+type service struct {
+	gossiper *Gossiper
+}
+
+// Tell takes in a peer's word and returns the own one.
+func (s *service) Tell(_ context.Context, word *gossipwire.Word) (*gossipwire.Word, error) {
+	s.gossiper.hear(word)
+
+	return s.gossiper.word(int(word.GetKnown())), nil
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -79,6 +79,9 @@
 	ask      placer.Ask
 	begun    bool // a part of the answer has left for the caller
 	after    int64
+	first    time.Duration // until the first event
+	pause    time.Duration // the longest between two events
+	latest   time.Time     // event
 	runs     int
 	refusals int
 	ran      bool
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -54,16 +54,17 @@
 
 			return
 		}
-		if now := time.Now(); first {
+		now := time.Now()
+		if first {
 			j.relayer.control.First(t.placement)
 			told = now
 		} else if now.Sub(told) > aliveInterval {
 			j.relayer.control.Alive(t.placement)
 			told = now
 		}
+		j.pace(now)
 		if !j.begun {
 			j.begin(t.response, -1)
-			j.relayer.meter.Took("first-event", time.Since(j.received))
 		}
 		if err := j.forward(event, flusher, events.Pending()); err != nil {
 			j.broken(ctx, t, errors.Wrap(err, "caller left"))
@@ -74,6 +75,17 @@
 	}
 }
 
+// pace records when events come.
+func (j *job) pace(now time.Time) {
+	if j.latest.IsZero() {
+		j.first = now.Sub(j.received)
+		j.relayer.meter.Took("first-event", j.first)
+	} else {
+		j.pause = max(j.pause, now.Sub(j.latest))
+	}
+	j.latest = now
+}
+
 // forward writes one event to the caller.
 func (j *job) forward(event sse.RawEvent, flusher *http.ResponseController, more bool) error {
 	if event.Number >= 0 {
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/configurer"
 	"github.com/oleanderpick/oleanderpick/internal/connector"
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/internal/gossiper"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
 	"github.com/oleanderpick/oleanderpick/internal/relayer"
 	"github.com/oleanderpick/oleanderpick/internal/storer"
@@ -42,6 +43,8 @@
 	noticed = 3 * time.Second
 	// stopMargin is kept of the stop limit for the end of the process.
 	stopMargin = 700 * time.Millisecond
+	// peerIdle is how long a connection between instances stays idle.
+	peerIdle = 20 * time.Second
 	// sweepInterval is how often idle connections are looked through.
 	sweepInterval = 500 * time.Millisecond
 	// memoryShare is the part of the process's memory that Go's heap and
@@ -63,11 +66,13 @@
 	logger   hclog.Logger
 	control  *dispatcher.Dispatcher
 	relayer  *relayer.Relayer
+	gossip   *gossiper.Gossiper
 	links    *connector.Connector
 	idlers   *idlers
 	tree     *suture.Supervisor
 	callers  *http.Server
 	status   *http.Server
+	peers    *http.Server
 	leaving  atomic.Bool
 	done     chan struct{}
 }
@@ -101,11 +106,27 @@
 		ErrorLog:          logger.Named("callers").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	r.status = &http.Server{Handler: r.statusHandler(platform.ReadyPath, counters), ReadHeaderTimeout: headerTimeout}
+	r.gossip = r.newGossiper(counters, logger.Named("gossiper"))
+	r.peers = &http.Server{Handler: r.gossip.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdle}
 	r.plant(logger.Named("supervisor"), reads)
 
 	return r
 }
 
+func (r *Runner) newGossiper(counters *meter.Meter, logger hclog.Logger) *gossiper.Gossiper {
+	settings := gossiper.DefaultSettings()
+	settings.Name, settings.Address = r.settings.Name, r.settings.PeerListen
+	settings.Incarnation = uint64(time.Now().UnixNano())
+	settings.Seeds = r.settings.PeerAddresses()
+	client := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     peerIdle,
+		DialContext:         (&net.Dialer{Timeout: settings.Timeout}).DialContext,
+	}}
+
+	return gossiper.New(settings, r.control, client, counters, logger)
+}
+
 func storeTransport() *http.Transport {
 	return &http.Transport{
 		MaxIdleConnsPerHost: 4,
@@ -121,6 +142,7 @@
 	}})
 	r.tree.Add(r.control)
 	r.tree.Add(reads)
+	r.tree.Add(r.gossip)
 	r.tree.Add(&sweeper{links: r.links, idlers: r.idlers})
 }
 
@@ -145,6 +167,13 @@
 	return mux
 }
 
+// Reload takes in what may change while the instance runs: the seeds. The rest
+// holds from the next start.
+func (r *Runner) Reload(settings configurer.Relay) {
+	r.gossip.Meet(settings.PeerAddresses())
+	r.logger.Info("Settings are reloaded.", "seeds", settings.Seeds)
+}
+
 // Run serves until ctx ends, then stops as planned: new connections go
 // elsewhere once the balancer has noticed, and requests in flight end whole, as
 // long as the stop limit allows.
@@ -178,7 +207,9 @@
 
 func (r *Runner) listen() (map[*http.Server]net.Listener, error) {
 	listeners := map[*http.Server]net.Listener{}
-	for address, server := range map[string]*http.Server{r.settings.Listen: r.callers, r.settings.StatusListen: r.status} {
+	for address, server := range map[string]*http.Server{
+		r.settings.Listen: r.callers, r.settings.StatusListen: r.status, r.settings.PeerListen: r.peers,
+	} {
 		var config net.ListenConfig
 		listener, err := config.Listen(context.Background(), "tcp", address)
 		if err != nil {
@@ -197,6 +228,7 @@
 	r.logger.Info("Stopping.", "in flight", r.relayer.InFlight())
 	r.leaving.Store(true)
 	r.relayer.Leave()
+	r.gossip.Leave()
 	time.Sleep(min(noticed, limit))
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(limit))
 	defer cancel()
@@ -205,4 +237,5 @@
 		_ = r.callers.Close()
 	}
 	_ = r.status.Close()
+	_ = r.peers.Close()
 }
--- a/pkg/placer/ask.go
+++ b/pkg/placer/ask.go
@@ -29,14 +29,13 @@
 	return a.Parts[len(a.Parts)-2].ID
 }
 
-// shared is the number of prompt tokens in parts that others may have too.
-func (a *Ask) shared() int {
-	tokens := 0
-	for i := 0; i < len(a.Parts)-1; i++ {
-		tokens += a.Parts[i].Tokens
+// shareable are the parts that other requests may have too.
+func (a *Ask) shareable() []Part {
+	if len(a.Parts) < 2 {
+		return nil
 	}
 
-	return tokens
+	return a.Parts[:len(a.Parts)-1]
 }
 
 // Choice is the endpoint that a request goes to.
@@ -50,6 +49,8 @@
 	Fresh int
 	// Long tells that the request counts as long.
 	Long bool
+	// Border is how many of Engines were for short prompts.
+	Border, Engines int
 }
 
 // Result is how a try at an endpoint ended.
@@ -79,6 +80,15 @@
 type Load struct {
 	// Running is the requests in flight.
 	Running int
+	// Short is those of the requests in flight whose prompts are short: the
+	// streams that a long prompt would hold up.
+	Short int
 	// Pending is the prompt tokens still to be read.
 	Pending int
 }
+
+// Demand is the work that arrives for a service, in engines kept busy. Only the
+// proportion of its parts matters.
+type Demand struct {
+	Short, Long float64
+}
--- a/pkg/placer/cache.go
+++ b/pkg/placer/cache.go
@@ -17,16 +17,27 @@
 // add takes in that the engine read the parts.
 func (c *cache) add(parts []Part) {
 	for _, part := range parts {
-		if element, ok := c.parts[part.ID]; ok {
-			c.order.MoveToFront(element)
+		c.touch(part.ID)
+	}
+}
 
-			continue
-		}
-		c.parts[part.ID] = c.order.PushFront(part.ID)
-		if c.order.Len() > c.most {
-			oldest := c.order.Back()
-			delete(c.parts, c.order.Remove(oldest).(uint64))
-		}
+// addIDs is add for parts of which only the ids are known.
+func (c *cache) addIDs(ids []uint64) {
+	for _, id := range ids {
+		c.touch(id)
+	}
+}
+
+func (c *cache) touch(id uint64) {
+	if element, ok := c.parts[id]; ok {
+		c.order.MoveToFront(element)
+
+		return
+	}
+	c.parts[id] = c.order.PushFront(id)
+	if c.order.Len() > c.most {
+		oldest, _ := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.parts, oldest)
 	}
 }
 
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
@@ -14,6 +15,7 @@
 	own      Load
 	peers    map[string]peerLoad
 	cache    *cache
+	read     []reading // lately, for this instance
 	failures int
 	share    float64 // of failures, decaying
 	ejected  int     // ejections in a row
@@ -23,6 +25,12 @@
 	alive    time.Time
 }
 
+// reading is the shared parts of a prompt that the engine read.
+type reading struct {
+	at    time.Time
+	parts []Part
+}
+
 type peerLoad struct {
 	Load
 	at time.Time
@@ -57,6 +65,7 @@
 			continue
 		}
 		sum.Running += peer.Running
+		sum.Short += peer.Short
 		sum.Pending += peer.Pending
 	}
 
@@ -95,3 +104,21 @@
 	e.ejected++
 	e.cache.clear()
 }
+
+// lately returns the shared parts that the engine read within the time that
+// others take to hear of it.
+func (e *endpoint) lately(now time.Time) []uint64 {
+	for len(e.read) > 0 && (now.Sub(e.read[0].at) > toldFor || len(e.read) > readsMost) {
+		e.read = e.read[1:]
+	}
+	var ids []uint64
+	for _, read := range e.read {
+		for _, part := range read.parts {
+			if !slices.Contains(ids, part.ID) {
+				ids = append(ids, part.ID)
+			}
+		}
+	}
+
+	return ids
+}
--- a/pkg/placer/group.go
+++ b/pkg/placer/group.go
@@ -11,6 +11,16 @@
 	rate      float64     // prompt tokens read in a millisecond
 	long      int         // prompt tokens from which on a prompt is long
 	demand    demand
+	peers     map[string]peerDemand
+	smooth    float64 // share of the engines for short prompts
+	smoothed  time.Time
+	current   int // border, of so many engines
+	engines   int
+}
+
+type peerDemand struct {
+	Demand
+	at time.Time
 }
 
 const (
@@ -21,7 +31,10 @@
 )
 
 func newGroup(settings Settings) *group {
-	return &group{rate: settings.PrefillRate, long: settings.LongPrompt}
+	return &group{
+		rate: settings.PrefillRate, long: settings.LongPrompt,
+		peers: map[string]peerDemand{}, smooth: startShare,
+	}
 }
 
 // observe learns the rate from the time to a first token. Waiting makes it look
@@ -43,27 +56,66 @@
 	return time.Duration(float64(tokens) / g.rate * float64(time.Millisecond))
 }
 
-// border returns how many of n engines, by rank, are for short prompts.
+// own is the demand of this instance.
+func (g *group) own(now time.Time) Demand {
+	demand := g.demand.engines(now, g.rate)
+	pending, streams := 0, 0
+	for _, e := range g.endpoints {
+		streams += e.own.Short
+		pending += e.own.Pending
+	}
+	demand.Short += float64(streams) / batchTarget
+	demand.Long += g.reading(pending).Seconds() / backlogTarget.Seconds()
+
+	return demand
+}
+
+// total is the demand of all instances.
+func (g *group) total(now time.Time) Demand {
+	sum := g.own(now)
+	for peer, demand := range g.peers {
+		if now.Sub(demand.at) > demandMemory {
+			delete(g.peers, peer)
+
+			continue
+		}
+		sum.Short += demand.Short
+		sum.Long += demand.Long
+	}
+
+	return sum
+}
+
+// border returns how many of n engines, by rank, are for short prompts. It
+// follows the demand of all instances, so that they agree on it, and moves
+// smoothly: each step moves families of prompts to other engines.
 func (g *group) border(now time.Time, n int) int {
-	short, long := g.demand.engines(now, g.rate)
-	switch {
-	case n < 2 || long == 0:
+	total := g.total(now)
+	if total.Short+total.Long > 0 {
+		share := total.Short / (total.Short + total.Long)
+		if g.smoothed.IsZero() {
+			g.smoothed = now
+		}
+		weight := 1 - math.Exp(-now.Sub(g.smoothed).Seconds()/borderMemory.Seconds())
+		g.smooth += weight * (share - g.smooth)
+		g.smoothed = now
+	}
+	if n < 2 {
 		return n
-	case short == 0:
-		return 0
+	}
+	wanted := float64(n) * g.smooth
+	if n != g.engines || math.Abs(wanted-float64(g.current)) > borderSlack {
+		g.current, g.engines = int(math.Round(wanted)), n
 	}
 
-	return min(n-1, max(1, int(math.Round(float64(n)*short/(short+long)))))
+	return min(n-1, max(1, g.current))
 }
 
 // demand is what arrives for a service, with exponential forgetting.
 type demand struct {
-	at                    time.Time
-	shortTokens           float64 // prompt tokens a second
-	longTokens            float64
-	shortStreams          float64 // stream seconds a second
-	shortWeight           float64
-	streamTime, streamSum float64
+	at          time.Time
+	shortTokens float64 // prompt tokens
+	longTokens  float64
 }
 
 func (d *demand) decay(now time.Time) {
@@ -78,7 +130,6 @@
 	d.at = now
 	d.shortTokens *= factor
 	d.longTokens *= factor
-	d.shortStreams *= factor
 }
 
 func (d *demand) arrive(now time.Time, choice Choice) {
@@ -90,22 +141,10 @@
 	}
 }
 
-// leave takes in how long a stream ran.
-func (d *demand) leave(now time.Time, long, begun bool, took time.Duration) {
-	d.decay(now)
-	if !long && begun {
-		d.shortStreams += took.Seconds()
-	}
-}
-
-// engines returns how many engines' work the short and the long prompts of this
-// instance are. Only their proportion matters.
-func (d *demand) engines(now time.Time, rate float64) (short, long float64) {
+// engines returns how many engines the prompts of this instance keep busy.
+func (d *demand) engines(now time.Time, rate float64) Demand {
 	d.decay(now)
-	seconds := demandMemory.Seconds()
-	reading := rate * float64(time.Second/time.Millisecond) * busyTarget
-	short = d.shortTokens/seconds/reading + d.shortStreams/seconds/batchTarget
-	long = d.longTokens / seconds / reading
+	reading := rate * float64(time.Second/time.Millisecond) * busyTarget * demandMemory.Seconds()
 
-	return short, long
+	return Demand{Short: d.shortTokens / reading, Long: d.longTokens / reading}
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -108,9 +108,13 @@
 	}
 	e.own.Running++
 	e.own.Pending += choice.Fresh
+	if ask.Prompt > 0 && !choice.Long {
+		e.own.Short++
+	}
 	if ask.Prompt > 0 {
 		g.demand.arrive(now, choice)
 		e.cache.add(ask.Parts)
+		e.read = append(e.read, reading{at: now, parts: ask.shareable()})
 	}
 }
 
@@ -153,8 +157,8 @@
 	if !r.begun {
 		r.endpoint.own.Pending -= r.fresh
 	}
-	if r.ask.Prompt > 0 {
-		r.group.demand.leave(now, r.long, r.begun, now.Sub(r.started))
+	if r.ask.Prompt > 0 && !r.long {
+		r.endpoint.own.Short--
 	}
 	r.endpoint.settle(now, result)
 }
@@ -171,9 +175,45 @@
 	return loads
 }
 
-// Heard takes in what another instance has at the endpoints. What it does not
-// name, it does not use.
-func (p *Placer) Heard(now time.Time, peer string, loads map[string]Load) {
+// Reads returns the shared parts that engines read lately for this instance.
+func (p *Placer) Reads(now time.Time) map[string][]uint64 {
+	reads := map[string][]uint64{}
+	for id, e := range p.endpoints {
+		if parts := e.lately(now); len(parts) > 0 {
+			reads[id] = parts
+		}
+	}
+
+	return reads
+}
+
+// HeardReads takes in the shared parts that engines read for others.
+func (p *Placer) HeardReads(reads map[string][]uint64) {
+	for id, parts := range reads {
+		if e := p.endpoints[id]; e != nil {
+			e.cache.addIDs(parts)
+		}
+	}
+}
+
+// Demands returns what arrives at this instance by service.
+func (p *Placer) Demands(now time.Time) map[string]Demand {
+	demands := map[string]Demand{}
+	for name, g := range p.services {
+		if own := g.own(now); own != (Demand{}) {
+			demands[name] = own
+		}
+	}
+
+	return demands
+}
+
+// Heard takes in what another instance has at the endpoints and what arrives
+// there. Endpoints that it does not name, it does not use.
+func (p *Placer) Heard(now time.Time, peer string, loads map[string]Load, demands map[string]Demand) {
+	for name, demand := range demands {
+		p.group(name).peers[peer] = peerDemand{Demand: demand, at: now}
+	}
 	for id, e := range p.endpoints {
 		load, ok := loads[id]
 		if !ok {
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -11,34 +11,43 @@
 	ask        *Ask
 	now        time.Time
 	dataCentre string
-	candidates []*endpoint
+	open       []*endpoint // by rank
+	candidates []*endpoint // of these, those to choose from
 }
 
-// collect gathers the endpoints that may take the request: those expected to
-// take it, or else, so that an error of judgement does not end all service, any
-// that is open.
+// collect gathers the endpoints that may take the request.
 func (s *search) collect() {
-	mean := s.group.failures()
-	var open, untried []*endpoint
 	for _, e := range s.group.endpoints {
-		if !e.open() {
-			continue
+		if e.open() {
+			s.open = append(s.open, e)
 		}
-		open = append(open, e)
+	}
+	s.candidates = s.usable(s.open)
+}
+
+// usable returns the endpoints that are expected to take the request; if there
+// are none, those that it has not tried yet; and if there are none, all, so that
+// an error of judgement does not end all service.
+func (s *search) usable(endpoints []*endpoint) []*endpoint {
+	limit := s.group.failures() + failureExcess
+	var untried, willing []*endpoint
+	for _, e := range endpoints {
 		if slices.Contains(s.ask.Avoid, e.ID) {
 			continue
 		}
 		untried = append(untried, e)
-		if e.willing(s.now) && e.share <= mean+failureExcess {
-			s.candidates = append(s.candidates, e)
+		if e.willing(s.now) && e.share <= limit {
+			willing = append(willing, e)
 		}
 	}
-	if len(s.candidates) == 0 {
-		s.candidates = untried
-	}
-	if len(s.candidates) == 0 {
-		s.candidates = open
+	switch {
+	case len(willing) > 0:
+		return willing
+	case len(untried) > 0:
+		return untried
 	}
+
+	return endpoints
 }
 
 // failures is the endpoints' mean share of failures.
@@ -82,23 +91,36 @@
 // engine places a request that has a prompt.
 func (s *search) engine() Choice {
 	long := s.ask.Prompt >= s.group.long
-	border := s.group.border(s.now, len(s.candidates))
-	side := s.candidates[:border]
-	if long {
-		side = s.candidates[border:]
-	}
-	if len(side) == 0 {
-		side = s.candidates
-	}
+	border := s.group.border(s.now, len(s.open))
 	var e *endpoint
 	if long {
-		e = s.familiar(side)
+		e = s.familiar(s.usable(s.open[border:]))
 	} else {
-		e = s.quietest(side)
+		e = s.quietest(s.spare(s.usable(s.open[:border])))
+	}
+	if e == nil {
+		e = s.quietest(s.candidates)
 	}
 	fresh := s.fresh(e)
 
-	return Choice{ID: e.ID, Address: e.Address, Expected: s.expected(e, fresh), Fresh: fresh, Long: long}
+	return Choice{
+		ID: e.ID, Address: e.Address, Expected: s.expected(e, fresh), Fresh: fresh, Long: long,
+		Border: border, Engines: len(s.open),
+	}
+}
+
+// spare returns the engines of the side with a free slot, or else any that have
+// one.
+func (s *search) spare(side []*endpoint) []*endpoint {
+	full := func(e *endpoint) bool { return e.Slots > 0 && e.load(s.now).Running >= e.Slots }
+	if free := slices.DeleteFunc(slices.Clone(side), full); len(free) > 0 {
+		return free
+	}
+	if free := slices.DeleteFunc(slices.Clone(s.candidates), full); len(free) > 0 {
+		return free
+	}
+
+	return side
 }
 
 // quietest takes the engine that runs least, for a short prompt.
@@ -117,29 +139,38 @@
 // familiar takes the engine that the request's family belongs to, or the one
 // with the earliest first token if that is much sooner.
 func (s *search) familiar(side []*endpoint) *endpoint {
-	soonest := least(side, func(e *endpoint) float64 { return s.wait(e).Seconds() })
+	soonest := least(side, func(e *endpoint) float64 { return s.cost(e).Seconds() })
 	family := s.ask.family()
-	if family == 0 {
+	if family == 0 || soonest == nil {
 		return soonest
 	}
 	home := least(side, func(e *endpoint) float64 { return -float64(hash(e.ID, family) >> 11) })
-	if s.wait(home) <= s.wait(soonest)+moveGain {
+	if s.cost(home) <= s.cost(soonest)+moveGain {
 		return home
 	}
 
 	return soonest
 }
 
+// cost is the predicted time to the first token of a long prompt, and what it
+// does to the streams that run there.
+func (s *search) cost(e *endpoint) time.Duration {
+	fresh := s.fresh(e)
+	load := e.load(s.now)
+	cost := s.expected(e, fresh)
+	if load.Pending+fresh > pauseTokens {
+		cost += time.Duration(load.Short) * harm
+	}
+
+	return cost
+}
+
 // fresh is the prompt tokens that the engine would have to read.
 func (s *search) fresh(e *endpoint) int {
 	return max(0, s.ask.Prompt-e.cache.covered(s.ask.Parts))
 }
 
-// wait is the predicted time to the first token.
-func (s *search) wait(e *endpoint) time.Duration {
-	return s.expected(e, s.fresh(e))
-}
-
+// expected is the predicted time to the first token.
 func (s *search) expected(e *endpoint, fresh int) time.Duration {
 	load := e.load(s.now)
 
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -22,13 +22,36 @@
 	// a millisecond.
 	defaultPrefillRate = 35
 	// batchTarget is the streams that one engine of the group for short
-	// prompts runs at the planned pace.
-	batchTarget = 32
+	// prompts runs at the planned pace: three quarters of the usual batch.
+	batchTarget = 48
 	// busyTarget is the share of its time that an engine may spend on
 	// reading prompts before they wait for each other.
-	busyTarget = 0.5
+	busyTarget = 0.6
+	// backlogTarget is the time in which an engine should have read what
+	// waits there.
+	backlogTarget = 500 * time.Millisecond
 	// demandMemory is the time constant of the observed demand.
-	demandMemory = 3 * time.Second
+	demandMemory = 2 * time.Second
+	// startShare is the share of engines for short prompts before any demand
+	// was seen.
+	startShare = 0.4
+	// borderMemory is the time constant with which the border follows the
+	// demand.
+	borderMemory = time.Second
+	// borderSlack is how far the border must be from where it should be, in
+	// engines, before it moves.
+	borderSlack = 0.7
+	// toldFor is how long a read part is told to other instances; each hears
+	// from each within this time.
+	toldFor = 1500 * time.Millisecond
+	// readsMost bounds the reads of an engine that are told at once.
+	readsMost = 24
+	// pauseTokens is the unread prompt tokens beyond which an engine makes
+	// its streams pause for longer than they usually may, in tokens.
+	pauseTokens = 7000
+	// harm is the time by which a long prompt is put off for each stream that
+	// it would hold up.
+	harm = 25 * time.Millisecond
 	// remotePenalty is how many requests more the own data centre may run
 	// before another one is taken; a way there and back takes a few
 	// milliseconds, about what one more request in a batch costs.
