placer: Let one instance decide the border

Change: the live instance with the first name decides, the others follow what it tells; when the engines do not suffice, short prompts get what they need first.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -18,7 +18,8 @@
 
 // Settings are a dispatcher's limits.
 type Settings struct {
-	// DataCentre is this instance's.
+	// Name and DataCentre are this instance's.
+	Name       string
 	DataCentre string
 	// KeyLease is how long a confirmed configuration lets keys pass.
 	KeyLease time.Duration
@@ -75,7 +76,7 @@
 		lease:    freshener.New(settings.KeyLease),
 		lifetime: settings.KeyLease,
 		registry: registrar.New(registrar.Settings{Return: settings.Return, Outage: outage}),
-		placer:   placer.New(placer.Settings{DataCentre: settings.DataCentre}),
+		placer:   placer.New(placer.Settings{Name: settings.Name, DataCentre: settings.DataCentre}),
 		retries:  retrier.NewWindow(settings.Retries),
 	}
 }
--- a/internal/gossiper/word.go
+++ b/internal/gossiper/word.go
@@ -41,6 +41,7 @@
 	for name, demand := range state.Demands {
 		word.Demands = append(word.Demands, &gossipwire.Demand{
 			Service: name, Short: float32(demand.Short), Long: float32(demand.Long),
+			Border: uint32(max(0, demand.Border)), Engines: uint32(max(0, demand.Engines)),
 		})
 	}
 
@@ -60,7 +61,10 @@
 		decoded.Reads[load.GetEndpoint()] = load.GetReads()
 	}
 	for _, demand := range word.GetDemands() {
-		decoded.Demands[demand.GetService()] = placer.Demand{Short: float64(demand.GetShort()), Long: float64(demand.GetLong())}
+		decoded.Demands[demand.GetService()] = placer.Demand{
+			Short: float64(demand.GetShort()), Long: float64(demand.GetLong()),
+			Border: int(demand.GetBorder()), Engines: int(demand.GetEngines()),
+		}
 	}
 
 	return decoded
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -85,6 +85,7 @@
 	counters := meter.New()
 	r := &Runner{settings: settings, logger: logger.Named("runner"), done: make(chan struct{})}
 	r.control = dispatcher.New(dispatcher.Settings{
+		Name:       settings.Name,
 		DataCentre: settings.DataCentre,
 		KeyLease:   settings.KeyLease - leaseMargin,
 		Return:     settings.EndpointReturn,
--- a/pkg/placer/ask.go
+++ b/pkg/placer/ask.go
@@ -47,6 +47,8 @@
 	Expected time.Duration
 	// Fresh is the prompt tokens that the engine will have to read.
 	Fresh int
+	// Remote tells that the endpoint is in another data centre.
+	Remote bool
 	// Long tells that the request counts as long.
 	Long bool
 	// Border is how many of Engines were for short prompts.
@@ -87,8 +89,10 @@
 	Pending int
 }
 
-// Demand is the work that arrives for a service, in engines kept busy. Only the
-// proportion of its parts matters.
+// Demand is the work that arrives for a service, in engines kept busy.
 type Demand struct {
 	Short, Long float64
+	// Border is how many of Engines the teller has for short prompts; zero
+	// engines: it has no opinion.
+	Border, Engines int
 }
--- a/pkg/placer/group.go
+++ b/pkg/placer/group.go
@@ -7,6 +7,7 @@
 
 // group is the endpoints of one service.
 type group struct {
+	name      string      // of this instance
 	endpoints []*endpoint // by rank
 	rate      float64     // prompt tokens read in a millisecond
 	long      int         // prompt tokens from which on a prompt is long
@@ -32,6 +33,7 @@
 
 func newGroup(settings Settings) *group {
 	return &group{
+		name: settings.Name,
 		rate: settings.PrefillRate, long: settings.LongPrompt,
 		peers: map[string]peerDemand{}, smooth: startShare,
 	}
@@ -66,6 +68,7 @@
 	}
 	demand.Short += float64(streams) / batchTarget
 	demand.Long += g.reading(pending).Seconds() / backlogTarget.Seconds()
+	demand.Border, demand.Engines = g.current, g.engines
 
 	return demand
 }
@@ -86,29 +89,53 @@
 	return sum
 }
 
-// border returns how many of n engines, by rank, are for short prompts. It
-// follows the demand of all instances, so that they agree on it, and moves
-// smoothly: each step moves families of prompts to other engines.
+// border returns how many of n engines, by rank, are for short prompts. The
+// live instance with the first name decides, so that all agree.
 func (g *group) border(now time.Time, n int) int {
-	total := g.total(now)
-	if total.Short+total.Long > 0 {
-		share := total.Short / (total.Short + total.Long)
+	own := g.decide(now, n)
+	leader, border := g.name, own
+	for peer, told := range g.peers {
+		if told.Engines > 0 && peer < leader && now.Sub(told.at) < leadFor {
+			leader = peer
+			border = int(math.Round(float64(told.Border) * float64(n) / float64(told.Engines)))
+		}
+	}
+	if n < 2 {
+		return n
+	}
+
+	return min(n-1, max(1, border))
+}
+
+// decide finds the own border. It follows the demand of all instances and moves
+// smoothly: each step moves families of prompts to other engines.
+func (g *group) decide(now time.Time, n int) int {
+	if total := g.total(now); total.Short+total.Long > 0 {
 		if g.smoothed.IsZero() {
 			g.smoothed = now
 		}
 		weight := 1 - math.Exp(-now.Sub(g.smoothed).Seconds()/borderMemory.Seconds())
-		g.smooth += weight * (share - g.smooth)
+		g.smooth += weight * (total.share(n) - g.smooth)
 		g.smoothed = now
 	}
-	if n < 2 {
-		return n
-	}
 	wanted := float64(n) * g.smooth
 	if n != g.engines || math.Abs(wanted-float64(g.current)) > borderSlack {
 		g.current, g.engines = int(math.Round(wanted)), n
 	}
 
-	return min(n-1, max(1, g.current))
+	return g.current
+}
+
+// share is the part of n engines that short prompts get: in proportion while
+// there are enough, and else what they need first, since the same time serves
+// many more of them.
+func (d Demand) share(n int) float64 {
+	sum := d.Short + d.Long
+	if sum <= float64(n) {
+		return d.Short / sum
+	}
+
+	return max(d.Short/sum, min(shortMost, d.Short/float64(n)))
 }
 
 // demand is what arrives for a service, with exponential forgetting.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -89,7 +89,7 @@
 	if ask.Prompt == 0 {
 		e := s.plain()
 
-		return Choice{ID: e.ID, Address: e.Address}, true
+		return Choice{ID: e.ID, Address: e.Address, Remote: e.DataCentre != s.dataCentre}, true
 	}
 
 	return s.engine(), true
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -105,7 +105,7 @@
 
 	return Choice{
 		ID: e.ID, Address: e.Address, Expected: s.expected(e, fresh), Fresh: fresh, Long: long,
-		Border: border, Engines: len(s.open),
+		Remote: e.DataCentre != s.dataCentre, Border: border, Engines: len(s.open),
 	}
 }
 
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -4,7 +4,8 @@
 
 // Settings tune a Placer. A zero value means the default.
 type Settings struct {
-	// DataCentre is this instance's.
+	// Name and DataCentre are this instance's.
+	Name       string
 	DataCentre string
 	// LongPrompt is the number of uncached prompt tokens from which on a
 	// prompt is kept away from streams. An engine that reads this many holds
@@ -38,6 +39,11 @@
 	// borderMemory is the time constant with which the border follows the
 	// demand.
 	borderMemory = time.Second
+	// shortMost is the share of the engines that short prompts may take while
+	// long ones wait.
+	shortMost = 0.7
+	// leadFor is how long the border that another instance told holds.
+	leadFor = time.Second
 	// borderSlack is how far the border must be from where it should be, in
 	// engines, before it moves.
 	borderSlack = 0.7
