placer, relayer: Copy cached parts between engines, put off long prompts that would be late

Change: a request that goes to an engine without its shared part tells it which engine has it; a long prompt whose first token is predicted beyond 0.9 of its target is refused at once with the time to come back; the weights of engines follow what a batch holds; leaving a family's engine pays for what is read again.

--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -11,6 +11,10 @@
 type Placement struct {
 	placer.Choice
 
+	// Later is the time after which the request had better come back; zero:
+	// it is placed.
+	Later time.Duration
+
 	id uint64
 }
 
@@ -26,6 +30,11 @@
 		if !ok {
 			return
 		}
+		if later, postponed := d.placer.Postpone(ask, placement.Choice); postponed {
+			placement.Later = later
+
+			return
+		}
 		d.next++
 		placement.id = d.next
 		d.placer.Start(now, placement.id, placement.Choice, ask)
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -130,7 +130,7 @@
 	took := time.Since(j.received)
 	j.relayer.meter.Took(j.route.Kind.String(), took)
 	j.relayer.logger.Info("Answered.", "request", j.envelope.ID, "route", j.route.Name, "workspace", j.order.Workspace,
-		"endpoint", t.placement.ID, "remote", t.placement.Remote, "long", t.placement.Long, "fresh", t.placement.Fresh, "border", t.placement.Border, "expected ms", t.placement.Expected.Milliseconds(),
+		"endpoint", t.placement.ID, "remote", t.placement.Remote, "long", t.placement.Long, "fresh", t.placement.Fresh, "copied from", t.placement.Source, "border", t.placement.Border, "expected ms", t.placement.Expected.Milliseconds(),
 		"status", t.response.StatusCode, "runs", j.runs, "first ms", j.first.Milliseconds(), "pause ms", j.pause.Milliseconds(),
 		"ms", took.Milliseconds())
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -52,6 +52,11 @@
 
 			return
 		}
+		if placement.Later > 0 {
+			j.refuse(answerer.New(answerer.KindHopeless, "The engines are behind with prompts.").WithRetryAfter(placement.Later))
+
+			return
+		}
 		t := &trial{placement: placement}
 		j.try(ctx, t)
 		j.relayer.control.End(placement, t.result)
@@ -140,7 +145,7 @@
 		return
 	}
 	t.conn = conn
-	request := j.request(ctx, t.placement.ID)
+	request := j.request(ctx, t.placement)
 	t.response, err = conn.Send(request, j.mayLeave)
 	if err != nil {
 		t.ran = !errors.Is(err, connector.ErrNotSent)
@@ -173,9 +178,10 @@
 }
 
 // request makes the request to an endpoint.
-func (j *job) request(ctx context.Context, endpoint string) *http.Request {
+func (j *job) request(ctx context.Context, placement dispatcher.Placement) *http.Request {
 	order := j.order
-	order.Endpoint = endpoint
+	order.Endpoint = placement.ID
+	order.Source = placement.Source
 	order.Remaining = time.Until(j.deadline)
 	if j.after > 0 {
 		order.After = eventID(j.after)
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -34,6 +34,9 @@
 	Tier int
 	// After is the id of the last event that was passed on; empty: none.
 	After string
+	// Source is the address of an engine to copy cached parts from; empty:
+	// none.
+	Source string
 }
 
 // Statement is what an endpoint says of an answer.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -217,6 +217,8 @@
 		j.ask.Prompt = max(1, j.envelope.Prompt)
 		j.ask.Output = j.envelope.Output
 		j.ask.Parts = j.envelope.Parts
+		j.ask.Target = j.route.Target
+		j.ask.Copies = j.service.Engine.Copies
 	} else {
 		j.order.Tier = -1
 	}
--- a/pkg/matcher/configuration.go
+++ b/pkg/matcher/configuration.go
@@ -85,6 +85,8 @@
 	Slots int
 	// CacheTokens is the size of the KV cache in tokens.
 	CacheTokens int
+	// Copies tells that engines can copy cached parts from each other.
+	Copies bool
 	// TokensPerEvent is the number of tokens in one event of a stream.
 	TokensPerEvent int
 }
--- a/pkg/placer/ask.go
+++ b/pkg/placer/ask.go
@@ -15,6 +15,10 @@
 	Prompt, Output int
 	// Parts are the prompt's parts in order. The last is the request's own.
 	Parts []Part
+	// Copies tells that engines can copy parts from each other's memory.
+	Copies bool
+	// Target is the time to the first token that was promised; zero: none.
+	Target time.Duration
 	// Avoid are endpoints that failed or refused this request.
 	Avoid []string
 }
@@ -47,6 +51,9 @@
 	Expected time.Duration
 	// Fresh is the prompt tokens that the engine will have to read.
 	Fresh int
+	// Source is the address of an engine that holds more of the prompt and
+	// that the chosen one had better copy it from; empty: none.
+	Source string
 	// Remote tells that the endpoint is in another data centre.
 	Remote bool
 	// Long tells that the request counts as long.
--- a/pkg/placer/group.go
+++ b/pkg/placer/group.go
@@ -171,7 +171,7 @@
 // engines returns how many engines the prompts of this instance keep busy.
 func (d *demand) engines(now time.Time, rate float64) Demand {
 	d.decay(now)
-	reading := rate * float64(time.Second/time.Millisecond) * busyTarget * demandMemory.Seconds()
+	reading := rate * float64(time.Second/time.Millisecond) * demandMemory.Seconds()
 
-	return Demand{Short: d.shortTokens / reading, Long: d.longTokens / reading}
+	return Demand{Short: d.shortTokens / reading, Long: d.longTokens / reading / busyTarget}
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -95,6 +95,20 @@
 	return s.engine(), true
 }
 
+// Postpone decides whether a request that has a choice had better come back
+// later, and after what time. Where a backlog makes every long prompt late, the
+// ones that are put off let the others be on time.
+func (p *Placer) Postpone(ask Ask, choice Choice) (time.Duration, bool) {
+	if ask.Target <= 0 || !choice.Long || len(ask.Avoid) > 0 {
+		return 0, false
+	}
+	if choice.Expected <= time.Duration(float64(ask.Target)*postponeAt) {
+		return 0, false
+	}
+
+	return choice.Expected + surge, true
+}
+
 // Start records that own request id was sent.
 func (p *Placer) Start(now time.Time, id uint64, choice Choice, ask Ask) {
 	e := p.endpoints[choice.ID]
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -102,13 +102,47 @@
 		e = s.quietest(s.candidates)
 	}
 	fresh := s.fresh(e)
+	source := s.source(e)
+	if source != nil {
+		fresh = s.fresh(source)
+	}
 
 	return Choice{
-		ID: e.ID, Address: e.Address, Expected: s.expected(e, fresh), Fresh: fresh, Long: long,
+		Source: address(source),
+		ID:     e.ID, Address: e.Address, Expected: s.expected(e, fresh), Fresh: fresh, Long: long,
 		Remote: e.DataCentre != s.dataCentre, Border: border, Engines: len(s.open),
 	}
 }
 
+// source returns an engine that holds so much more of the prompt than e that e
+// had better copy it; nil: there is none.
+func (s *search) source(e *endpoint) *endpoint {
+	if !s.ask.Copies {
+		return nil
+	}
+	held := e.cache.covered(s.ask.Parts)
+	best := least(s.open, func(other *endpoint) float64 {
+		if !other.willing(s.now) {
+			return 0
+		}
+
+		return -float64(other.cache.covered(s.ask.Parts))
+	})
+	if best == nil || best == e || !best.willing(s.now) || best.cache.covered(s.ask.Parts) < held+fetchLeast {
+		return nil
+	}
+
+	return best
+}
+
+func address(e *endpoint) string {
+	if e == nil {
+		return ""
+	}
+
+	return e.Address
+}
+
 // spare returns the engines of the side with a free slot, or else any that have
 // one.
 func (s *search) spare(side []*endpoint) []*endpoint {
@@ -145,7 +179,8 @@
 		return soonest
 	}
 	home := least(side, func(e *endpoint) float64 { return -float64(hash(e.ID, family) >> 11) })
-	if s.cost(home) <= s.cost(soonest)+moveGain {
+	again := s.group.reading(max(0, s.fresh(soonest)-s.fresh(home)))
+	if s.cost(home) <= s.cost(soonest)+again+moveGain {
 		return home
 	}
 
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -23,10 +23,10 @@
 	// a millisecond.
 	defaultPrefillRate = 35
 	// batchTarget is the streams that one engine of the group for short
-	// prompts runs at the planned pace: three quarters of the usual batch.
-	batchTarget = 48
+	// prompts runs at the planned pace: a little less than the usual batch.
+	batchTarget = 60
 	// busyTarget is the share of its time that an engine may spend on
-	// reading prompts before they wait for each other.
+	// reading long prompts before they wait for each other.
 	busyTarget = 0.6
 	// backlogTarget is the time in which an engine should have read what
 	// waits there.
@@ -44,6 +44,15 @@
 	shortMost = 0.7
 	// leadFor is how long the border that another instance told holds.
 	leadFor = time.Second
+	// postponeAt is the predicted time to the first token, in targets, from
+	// which on a long prompt is put off.
+	postponeAt = 0.9
+	// surge is about how long a backlog lasts beyond the time to read it; who
+	// comes back sooner mostly finds it there still.
+	surge = time.Second
+	// fetchLeast is the prompt tokens from which on it pays to copy them from
+	// another engine's memory: a transfer has a set-up of some milliseconds.
+	fetchLeast = 512
 	// borderSlack is how far the border must be from where it should be, in
 	// engines, before it moves.
 	borderSlack = 0.7
@@ -81,9 +90,9 @@
 	// partsMost is the cached parts remembered for one engine.
 	partsMost = 1024
 	// moveGain is by how much sooner another engine must give the first token
-	// before a family of prompts leaves its own. Every move makes an engine
-	// read the shared part again.
-	moveGain = 120 * time.Millisecond
+	// before a family of prompts leaves its own, beside the time in which the
+	// other would read the shared part again.
+	moveGain = 60 * time.Millisecond
 	// stepTime is the share that one running stream adds to the wait for a
 	// first token.
 	stepTime = 500 * time.Microsecond
