watcher, gossiper: Let few instances read from the platform and pass it on

Ruled out: watches. They wake every instance at each change, may be deaf for a second before a history is dropped, and a silent one shows only by a timeout; key freshness needs linearizable reads beside them.

Change: an instance reads when its knowledge ages, the first rank soonest; words carry the number, the registry's digest and their ages; who hears of something newer fetches it from the teller. Ages count from the moment a question was sent.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -57,13 +57,17 @@
 	freshUntil atomic.Int64 // boot time
 
 	// The rest belongs to the control goroutine.
-	lease     *freshener.Freshener
-	lifetime  time.Duration
-	registry  *registrar.Registrar
-	placer    *placer.Placer
-	retries   *retrier.Window
-	next      uint64
-	instances int
+	lease    *freshener.Freshener
+	lifetime time.Duration
+	registry *registrar.Registrar
+	placer   *placer.Placer
+	retries  *retrier.Window
+	next     uint64
+	rank     int
+	source   Source
+	read     []registrar.Endpoint
+	digest   uint64
+	listedAt time.Duration // boot time
 }
 
 // New returns a dispatcher that knows nothing yet. Serve runs it.
--- a/internal/dispatcher/knowledge.go
+++ b/internal/dispatcher/knowledge.go
@@ -1,15 +1,32 @@
 package dispatcher
 
 import (
+	"hash/fnv"
+	"strconv"
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 )
 
+// Source is the configuration as the platform keeps it, so that it can be
+// passed on to other instances.
+type Source struct {
+	Spec    []byte
+	Version uint64
+}
+
+// Registry is the registered endpoints with a digest, by which instances see
+// that they know the same.
+type Registry struct {
+	Endpoints []registrar.Endpoint
+	Digest    uint64
+	Listed    bool
+}
+
 // Confirmed takes in a configuration that was read by a call sent at the given
 // boot time. Lower numbers than the one in force change nothing.
-func (d *Dispatcher) Confirmed(sent time.Duration, configuration *matcher.Matcher) {
+func (d *Dispatcher) Confirmed(sent time.Duration, configuration *matcher.Matcher, source Source) {
 	d.do(func() {
 		current := d.current.Load()
 		if current != nil && configuration.Number() < current.Number() {
@@ -19,7 +36,8 @@
 		}
 		if current == nil || configuration.Number() > current.Number() {
 			d.current.Store(configuration)
-			d.logger.Info("Configuration is in force.", "number", configuration.Number())
+			d.source = source
+			d.logger.Info("Configuration is in force.", "number", configuration.Number(), "age ms", (d.clock.Boot() - sent).Milliseconds())
 		}
 		d.confirm(sent)
 	})
@@ -33,25 +51,92 @@
 	}
 }
 
-// Listed takes in the whole registry of endpoints.
-func (d *Dispatcher) Listed(endpoints []registrar.Endpoint) {
+// Listed takes in the whole registry of endpoints, read by a call sent at the
+// given boot time. An older one than the last changes nothing.
+func (d *Dispatcher) Listed(sent time.Duration, endpoints []registrar.Endpoint) {
 	d.do(func() {
+		if d.registry.Listed() && sent < d.listedAt {
+			return
+		}
+		d.listedAt = sent
+		digest := digestOf(endpoints)
 		now := d.clock.Now()
 		d.registry.Reached(now)
+		if d.registry.Listed() && digest == d.digest {
+			return
+		}
+		d.digest = digest
+		d.read = endpoints
 		d.registry.List(now, endpoints)
+		d.logger.Info("Registry of endpoints changed.", "endpoints", len(endpoints), "age ms", (d.clock.Boot() - sent).Milliseconds())
 		d.place()
 	})
 }
 
+// digestOf tells registries apart.
+func digestOf(endpoints []registrar.Endpoint) uint64 {
+	sum := fnv.New64a()
+	for _, e := range endpoints {
+		for _, field := range []string{
+			e.ID, e.Service, e.Address, e.DataCentre,
+			strconv.Itoa(e.Slots), strconv.FormatBool(e.Draining), strconv.FormatInt(e.Born, 10),
+		} {
+			_, _ = sum.Write([]byte(field))
+			_, _ = sum.Write([]byte{0})
+		}
+	}
+
+	return sum.Sum64()
+}
+
 // place gives the placer the registered endpoints.
 func (d *Dispatcher) place() {
 	d.placer.Configure(d.registry.Endpoints())
 }
 
-// Shared tells how many instances there are.
-func (d *Dispatcher) Shared(instances int) {
+// Ages returns how old the knowledge of the configuration and of the endpoints
+// is; negative: there is none.
+func (d *Dispatcher) Ages() (configuration, endpoints time.Duration) {
+	d.do(func() { configuration, endpoints = d.ages() })
+
+	return configuration, endpoints
+}
+
+func (d *Dispatcher) ages() (configuration, endpoints time.Duration) {
+	now := d.clock.Boot()
+	configuration, endpoints = -1, -1
+	if age, known := d.lease.Age(now); known && d.current.Load() != nil {
+		configuration = max(0, age)
+	}
+	if d.registry.Listed() {
+		endpoints = max(0, now-d.listedAt)
+	}
+
+	return configuration, endpoints
+}
+
+// Known returns what to pass on to other instances.
+func (d *Dispatcher) Known() (source Source, registry Registry) {
+	d.do(func() {
+		source = d.source
+		registry = Registry{Endpoints: d.read, Digest: d.digest, Listed: d.registry.Listed()}
+	})
+
+	return source, registry
+}
+
+// Shared tells how many instances there are and how many live ones come before
+// this one.
+func (d *Dispatcher) Shared(instances, rank int) {
 	d.do(func() {
-		d.instances = instances
 		d.retries.Shared(instances)
+		d.rank = rank
 	})
 }
+
+// Rank returns how many live instances come before this one.
+func (d *Dispatcher) Rank() (rank int) {
+	d.do(func() { rank = d.rank })
+
+	return rank
+}
--- a/internal/dispatcher/word.go
+++ b/internal/dispatcher/word.go
@@ -14,10 +14,24 @@
 	Reads map[string][]uint64
 	// Demands are what arrives at the teller by service.
 	Demands map[string]placer.Demand
-	// Number is that of the teller's configuration; 0: none. Age is the age
-	// of its last confirmation.
+	// Vouch is what the teller knows from the platform.
+	Vouch Vouch
+}
+
+// Vouch says which configuration and registry an instance knows, and how old
+// the reads are that confirmed them.
+type Vouch struct {
+	// Number is the configuration's; 0: none.
 	Number uint64
 	Age    time.Duration
+	// Digest is the registry's; 0: none.
+	Digest       uint64
+	EndpointsAge time.Duration
+}
+
+// Wants says what a peer knows better.
+type Wants struct {
+	Configuration, Endpoints bool
 }
 
 // Boot reads the clock that freshness is measured by.
@@ -28,12 +42,16 @@
 // Tells returns what to tell other instances.
 func (d *Dispatcher) Tells() (word Word) {
 	d.do(func() {
+		now := d.clock.Now()
 		word.Loads = d.placer.Loads()
-		word.Reads = d.placer.Reads(d.clock.Now())
-		word.Demands = d.placer.Demands(d.clock.Now())
-		age, known := d.lease.Age(d.clock.Boot())
-		if current := d.current.Load(); current != nil && known && age >= 0 {
-			word.Number, word.Age = current.Number(), age
+		word.Reads = d.placer.Reads(now)
+		word.Demands = d.placer.Demands(now)
+		configuration, endpoints := d.ages()
+		if configuration >= 0 {
+			word.Vouch.Number, word.Vouch.Age = d.current.Load().Number(), configuration
+		}
+		if endpoints >= 0 {
+			word.Vouch.Digest, word.Vouch.EndpointsAge = d.digest, endpoints
 		}
 	})
 
@@ -48,12 +66,30 @@
 	})
 }
 
-// Vouched takes in that a peer has a configuration confirmed. It was so at the
-// latest when the question was sent, less the confirmation's age.
-func (d *Dispatcher) Vouched(sent time.Duration, number uint64, age time.Duration) {
+// Vouched takes in what a peer knows, as an answer to a question that was sent
+// at the given boot time, and returns what to ask it for. What the peer's read
+// confirmed was so at the latest when the question was sent, less the read's
+// age.
+func (d *Dispatcher) Vouched(sent time.Duration, vouch Vouch) (wants Wants) {
 	d.do(func() {
-		if current := d.current.Load(); current != nil && number > 0 && number == current.Number() {
-			d.confirm(sent - age)
+		current := d.current.Load()
+		switch {
+		case vouch.Number == 0:
+		case current == nil || vouch.Number > current.Number():
+			wants.Configuration = true
+		case vouch.Number == current.Number():
+			d.confirm(sent - vouch.Age)
+		}
+		at := sent - vouch.EndpointsAge
+		switch {
+		case vouch.Digest == 0 || (d.registry.Listed() && at <= d.listedAt):
+		case d.registry.Listed() && vouch.Digest == d.digest:
+			d.listedAt = at
+			d.registry.Reached(d.clock.Now())
+		default:
+			wants.Endpoints = true
 		}
 	})
+
+	return wants
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -50,6 +50,8 @@
 	forgetAfter = time.Minute
 	// liveFor is the silence up to which an instance counts.
 	liveFor = 4 * time.Second
+	// rankFor is the silence up to which an instance keeps its rank.
+	rankFor = time.Second
 	// retrySilent is how often an address that does not answer is tried.
 	retrySilent = time.Second
 	// greetRounds is the rounds after the start in which all known addresses
@@ -61,6 +63,7 @@
 type Gossiper struct {
 	settings Settings
 	control  *dispatcher.Dispatcher
+	reader   Reader
 	client   *http.Client
 	meter    *meter.Meter
 	logger   hclog.Logger
@@ -86,10 +89,11 @@
 }
 
 // New returns a gossiper that knows the seeds.
-func New(settings Settings, control *dispatcher.Dispatcher, client *http.Client, counters *meter.Meter, logger hclog.Logger) *Gossiper {
+func New(settings Settings, control *dispatcher.Dispatcher, reader Reader, client *http.Client, counters *meter.Meter, logger hclog.Logger) *Gossiper {
 	g := &Gossiper{
 		settings: settings,
 		control:  control,
+		reader:   reader,
 		client:   client,
 		meter:    counters,
 		logger:   logger,
@@ -154,18 +158,22 @@
 	}
 }
 
-// count is the number of instances, this one among them.
-func (g *Gossiper) count(now time.Time) int {
+// count returns the number of instances, this one among them, and how many live
+// ones come before it by their names.
+func (g *Gossiper) count(now time.Time) (instances, rank int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	count := 1
+	instances = 1
 	for _, m := range g.members {
 		if now.Sub(m.heard) < forgetAfter || (m.name == "" && now.Sub(m.added) < liveFor) {
-			count++
+			instances++
+		}
+		if m.name != "" && m.name < g.settings.Name && !m.leaving && now.Sub(m.heard) < rankFor {
+			rank++
 		}
 	}
 
-	return count
+	return instances, rank
 }
 
 // tell exchanges a word with a member.
@@ -184,18 +192,20 @@
 		return
 	}
 	g.meter.Add("gossip.told", 1)
-	g.hear(reply)
-	g.control.Vouched(sent, reply.GetNumber(), time.Duration(reply.GetAgeMs())*time.Millisecond)
+	if g.hear(reply) {
+		g.fetch(ctx, m.address, g.control.Vouched(sent, decodeWord(reply).Vouch))
+	}
 }
 
-// hear takes in a word.
-func (g *Gossiper) hear(word *gossipwire.Word) {
-	now := time.Now()
-	if !g.note(now, word) {
-		return
+// hear takes in a word; false: it was an earlier start's.
+func (g *Gossiper) hear(word *gossipwire.Word) bool {
+	if !g.note(time.Now(), word) {
+		return false
 	}
 	g.Meet(word.GetMembers())
 	g.control.Heard(word.GetName(), decodeWord(word))
+
+	return true
 }
 
 // note records who spoke; false: an earlier start of an instance did.
--- a/internal/gossiper/word.go
+++ b/internal/gossiper/word.go
@@ -21,8 +21,11 @@
 		Incarnation: g.settings.Incarnation,
 		Leaving:     leaving,
 		Known:       uint32(len(addresses)),
-		Number:      state.Number,
-		AgeMs:       milliseconds(state.Age),
+
+		Number:         state.Vouch.Number,
+		AgeMs:          milliseconds(state.Vouch.Age),
+		Digest:         state.Vouch.Digest,
+		EndpointsAgeMs: milliseconds(state.Vouch.EndpointsAge),
 	}
 	if known < len(addresses) {
 		word.Members = addresses
@@ -67,5 +70,12 @@
 		}
 	}
 
+	decoded.Vouch = dispatcher.Vouch{
+		Number:       word.GetNumber(),
+		Age:          time.Duration(word.GetAgeMs()) * time.Millisecond,
+		Digest:       word.GetDigest(),
+		EndpointsAge: time.Duration(word.GetEndpointsAgeMs()) * time.Millisecond,
+	}
+
 	return decoded
 }
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -97,7 +97,7 @@
 	r.relayer = relayer.New(platform.Codec, r.control, r.links, counters, logger.Named("relayer"), rand.Uint64)
 	store := storer.New(settings.Platform, &http.Client{Transport: storeTransport()}).
 		WithTimeout(storeTimeout).WithDialect(platform.Dialect)
-	reads := watcher.New(watcher.DefaultSettings(), store, platform.Reader, r.control, clock.Boot, logger.Named("watcher"))
+	reads := watcher.New(watcher.DefaultPace(), store, platform.Reader, r.control, logger.Named("watcher"))
 	r.idlers = newIdlers(r.idleTimeout)
 	r.callers = &http.Server{
 		Handler:           r.relayer,
@@ -107,14 +107,14 @@
 		ErrorLog:          logger.Named("callers").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	r.status = &http.Server{Handler: r.statusHandler(platform.ReadyPath, counters), ReadHeaderTimeout: headerTimeout}
-	r.gossip = r.newGossiper(counters, logger.Named("gossiper"))
+	r.gossip = r.newGossiper(platform.Reader, counters, logger.Named("gossiper"))
 	r.peers = &http.Server{Handler: r.gossip.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdle}
 	r.plant(logger.Named("supervisor"), reads)
 
 	return r
 }
 
-func (r *Runner) newGossiper(counters *meter.Meter, logger hclog.Logger) *gossiper.Gossiper {
+func (r *Runner) newGossiper(reader gossiper.Reader, counters *meter.Meter, logger hclog.Logger) *gossiper.Gossiper {
 	settings := gossiper.DefaultSettings()
 	settings.Name, settings.Address = r.settings.Name, r.settings.PeerListen
 	settings.Incarnation = uint64(time.Now().UnixNano())
@@ -125,7 +125,7 @@
 		DialContext:         (&net.Dialer{Timeout: settings.Timeout}).DialContext,
 	}}
 
-	return gossiper.New(settings, r.control, client, counters, logger)
+	return gossiper.New(settings, r.control, reader, client, counters, logger)
 }
 
 func storeTransport() *http.Transport {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -1,10 +1,10 @@
 // Package watcher reads the configuration and the endpoints' registry from the
-// platform, again and again.
+// platform when what is known of them gets old.
 //
 // It reads instead of waiting for changes: a linearizable read confirms what is
 // known, finds a silent connection by its timeout, needs no history, and costs
-// the platform the same whatever changes. docs/design/platform.md has the
-// figures.
+// the platform the same whatever changes. Instances pass on what they read, so
+// that few of them read at any time; docs/design/platform.md has the figures.
 package watcher
 
 import (
@@ -13,7 +13,9 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/internal/storer"
+	"github.com/oleanderpick/oleanderpick/pkg/freshener"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 )
@@ -32,52 +34,48 @@
 	ReadEndpoint(object storer.Object) (registrar.Endpoint, error)
 }
 
-// Control takes in what was read.
+// Control takes in what was read and says how old it is. Times are readings of
+// a clock that counts suspended time.
 type Control interface {
-	// Confirmed takes a configuration that was read by a call sent at the
-	// given boot time.
-	Confirmed(sent time.Duration, configuration *matcher.Matcher)
-	Listed(endpoints []registrar.Endpoint)
+	Boot() time.Duration
+	Rank() int
+	// Ages are negative where nothing is known.
+	Ages() (configuration, endpoints time.Duration)
+	Confirmed(sent time.Duration, configuration *matcher.Matcher, source dispatcher.Source)
+	Listed(sent time.Duration, endpoints []registrar.Endpoint)
 }
 
-// Settings are a watcher's intervals.
-type Settings struct {
-	// Configuration and Endpoints are the times between two reads.
-	Configuration, Endpoints time.Duration
-	// Retry is the time after which a failed read is repeated.
-	Retry time.Duration
-}
-
-// DefaultSettings fit bounds of two seconds for a change: a read, its timeout on
-// a silent connection and the next read stay below them.
-func DefaultSettings() Settings {
-	return Settings{
-		Configuration: 700 * time.Millisecond,
-		Endpoints:     600 * time.Millisecond,
-		Retry:         150 * time.Millisecond,
+// DefaultPace fits bounds of two seconds for a change: the age at which anyone
+// reads, a timeout and a further read stay below them.
+func DefaultPace() freshener.Pace {
+	return freshener.Pace{
+		Young:       450 * time.Millisecond,
+		Old:         1100 * time.Millisecond,
+		Retry:       150 * time.Millisecond,
+		RetryOthers: 500 * time.Millisecond,
+		Readers:     2,
 	}
 }
 
+// look is how often the watcher looks whether a read is due.
+const look = 50 * time.Millisecond
+
 // Watcher reads.
 type Watcher struct {
-	settings Settings
-	store    Store
-	reader   Reader
-	control  Control
-	boot     func() time.Duration
-	logger   hclog.Logger
-	done     chan struct{}
+	pace    freshener.Pace
+	store   Store
+	reader  Reader
+	control Control
+	logger  hclog.Logger
+	done    chan struct{}
 
 	known *matcher.Matcher
 	seen  uint64 // the store's version of known
 }
 
-// New returns a watcher; boot is a clock that counts suspended time.
-func New(settings Settings, store Store, reader Reader, control Control, boot func() time.Duration, logger hclog.Logger) *Watcher {
-	return &Watcher{
-		settings: settings, store: store, reader: reader, control: control, boot: boot, logger: logger,
-		done: make(chan struct{}),
-	}
+// New returns a watcher.
+func New(pace freshener.Pace, store Store, reader Reader, control Control, logger hclog.Logger) *Watcher {
+	return &Watcher{pace: pace, store: store, reader: reader, control: control, logger: logger, done: make(chan struct{})}
 }
 
 // String returns the name that the supervisor logs.
@@ -96,48 +94,63 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		w.repeat(ctx, "endpoints", w.settings.Endpoints, w.endpoints)
+		w.repeat(ctx, "endpoints", w.endpoints, func() time.Duration {
+			_, age := w.control.Ages()
+
+			return age
+		})
 	}()
-	w.repeat(ctx, "configuration", w.settings.Configuration, w.configuration)
+	w.repeat(ctx, "configuration", w.configuration, func() time.Duration {
+		age, _ := w.control.Ages()
+
+		return age
+	})
 	<-ended
 
 	return ctx.Err()
 }
 
-// repeat reads at each interval, sooner after a failure, and logs when the
-// platform is lost and regained.
-func (w *Watcher) repeat(ctx context.Context, what string, interval time.Duration, read func(context.Context) error) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	failed := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
+// repeat reads whenever it is due, and logs when the platform is lost and
+// regained.
+func (w *Watcher) repeat(ctx context.Context, what string, read func(context.Context) error, age func() time.Duration) {
+	ticker := time.NewTicker(look)
+	defer ticker.Stop()
+	standing := freshener.Standing{}
+	tried := w.control.Boot()
+	for ; ctx.Err() == nil; wait(ctx, ticker.C) {
+		standing.Age = age()
+		standing.Known = standing.Age >= 0
+		standing.Rank = w.control.Rank()
+		standing.SinceTry = w.control.Boot() - tried
+		if !w.pace.Due(standing) {
+			continue
 		}
+		tried = w.control.Boot()
 		err := read(ctx)
 		switch {
-		case err == nil && failed > 0:
-			w.logger.Info("Platform is regained.", "reading", what, "failed reads", failed)
-		case err != nil && failed == 0 && ctx.Err() == nil:
+		case err == nil && standing.Failures > 0:
+			w.logger.Info("Platform is regained.", "reading", what, "failed reads", standing.Failures)
+		case err != nil && standing.Failures == 0 && ctx.Err() == nil:
 			w.logger.Warn("Platform is lost.", "reading", what, "error", err)
 		}
+		standing.Failures++
 		if err == nil {
-			failed = 0
-			timer.Reset(interval)
-
-			continue
+			standing.Failures = 0
 		}
-		failed++
-		timer.Reset(w.settings.Retry)
+	}
+}
+
+func wait(ctx context.Context, next <-chan time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-next:
 	}
 }
 
 // configuration reads the configuration and confirms it.
 func (w *Watcher) configuration(ctx context.Context) error {
 	kind, name := w.reader.Configuration()
-	sent := w.boot()
+	sent := w.control.Boot()
 	object, err := w.store.Get(ctx, kind, name)
 	if err != nil {
 		return err
@@ -149,7 +162,7 @@
 		}
 		w.known, w.seen = matcher.New(read), object.Version
 	}
-	w.control.Confirmed(sent, w.known)
+	w.control.Confirmed(sent, w.known, dispatcher.Source{Spec: object.Spec, Version: object.Version})
 
 	return nil
 }
@@ -157,6 +170,7 @@
 // endpoints reads the whole registry.
 func (w *Watcher) endpoints(ctx context.Context) error {
 	var endpoints []registrar.Endpoint
+	sent := w.control.Boot()
 	for after, more := "", true; more; {
 		page, err := w.store.List(ctx, w.reader.Endpoints(), after, 0)
 		if err != nil {
@@ -176,7 +190,7 @@
 			after = page.Items[len(page.Items)-1].Name
 		}
 	}
-	w.control.Listed(endpoints)
+	w.control.Listed(sent, endpoints)
 
 	return nil
 }
