--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -70,15 +70,16 @@
 type Connector struct {
 	settings  Settings
 	transport *http.Transport
-	now       func() time.Time
 
 	mu   sync.Mutex
 	idle map[string][]*Connection
 }
 
-// New returns a connector without connections.
-func New(settings Settings) *Connector {
-	c := &Connector{settings: settings, now: time.Now, idle: map[string][]*Connection{}}
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewDial returns a Dial of TCP connections whose silence shows in time.
+func NewDial(settings Settings) Dial {
 	dialer := &net.Dialer{
 		Timeout: settings.Dial,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -86,12 +87,19 @@
 		},
 		Control: unacknowledged(settings.Unacknowledged),
 	}
+
+	return dialer.DialContext
+}
+
+// New returns a connector without connections.
+func New(settings Settings, dial Dial) *Connector {
+	c := &Connector{settings: settings, idle: map[string][]*Connection{}}
 	c.transport = &http.Transport{
 		DisableCompression: true,
 		ReadBufferSize:     4 << 10,
 		WriteBufferSize:    4 << 10,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -143,7 +151,7 @@
 		last := kept[len(kept)-1]
 		kept = kept[:len(kept)-1]
 		c.idle[address] = kept
-		if c.now().Before(last.expires) && last.client.Err() == nil && last.client.Available() > 0 {
+		if time.Now().Before(last.expires) && last.client.Err() == nil && last.client.Available() > 0 {
 			return last
 		}
 		_ = last.client.Close()
@@ -191,7 +199,7 @@
 		return
 	}
 	conn.used = true
-	conn.expires = c.now().Add(lifetime)
+	conn.expires = time.Now().Add(lifetime)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.idle[conn.address]
@@ -242,7 +250,7 @@
 
 // Sweep closes idle connections that will not be used again.
 func (c *Connector) Sweep() {
-	now := c.now()
+	now := time.Now()
 	var old []*Connection
 	c.mu.Lock()
 	for address, kept := range c.idle {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/oleanderpick/oleanderpick/pkg/freshener"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
 )
@@ -62,6 +63,9 @@
 	registry *registrar.Registrar
 	placer   *placer.Placer
 	retries  *retrier.Window
+	poison   *quarantiner.Quarantiner
+	broken   map[string][]breakage // by endpoint
+	suspects atomic.Bool           // something is suspected
 	next     uint64
 	rank     int
 	source   Source
@@ -82,6 +86,8 @@
 		registry: registrar.New(registrar.Settings{Return: settings.Return, Outage: outage}),
 		placer:   placer.New(placer.Settings{Name: settings.Name, DataCentre: settings.DataCentre}),
 		retries:  retrier.NewWindow(settings.Retries),
+		poison:   quarantiner.New(quarantiner.DefaultSettings()),
+		broken:   map[string][]breakage{},
 	}
 }
 
--- /dev/null
+++ b/internal/dispatcher/poison.go
@@ -0,0 +1,90 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
+)
+
+const (
+	// crashEcho is the time within which a broken answer and a refused
+	// connection are one crash.
+	crashEcho = 2 * time.Second
+	// breakagesMost bounds the broken answers remembered for an endpoint.
+	breakagesMost = 64
+	// suspectsTold bounds the suspects in one word to another instance.
+	suspectsTold = 32
+)
+
+// breakage is an answer that broke off. Whether its endpoint crashed shows when
+// it refuses connections: answers are lost for other reasons too.
+type breakage struct {
+	fingerprint uint64
+	at          time.Time
+}
+
+// Broke records that the answer to a request broke off.
+func (d *Dispatcher) Broke(placement Placement, fingerprint uint64) {
+	d.do(func() {
+		known := d.broken[placement.ID]
+		if len(known) >= breakagesMost {
+			known = known[1:]
+		}
+		d.broken[placement.ID] = append(known, breakage{fingerprint: fingerprint, at: d.clock.Now()})
+	})
+}
+
+// Down records that an endpoint refuses connections: whatever just broke off
+// there may have crashed it.
+func (d *Dispatcher) Down(placement Placement) {
+	d.do(func() {
+		now := d.clock.Now()
+		var present []uint64
+		for _, b := range d.broken[placement.ID] {
+			if now.Sub(b.at) < crashEcho {
+				present = append(present, b.fingerprint)
+			}
+		}
+		delete(d.broken, placement.ID)
+		if len(present) == 0 {
+			return
+		}
+		d.poison.CrashedOn(now, placement.ID, present)
+		d.suspects.Store(true)
+		d.logger.Warn("Endpoint crashed.", "endpoint", placement.ID, "requests there", len(present))
+	})
+}
+
+// Suspects reports whether any request is suspected of crashing endpoints.
+func (d *Dispatcher) Suspects() bool {
+	return d.suspects.Load()
+}
+
+// HeldBack reports whether a request crashed endpoints and must not run now.
+func (d *Dispatcher) HeldBack(fingerprint uint64) (held bool) {
+	d.do(func() { held = d.poison.Held(d.clock.Now(), fingerprint) })
+
+	return held
+}
+
+// Finished records that a request ran through, which clears it.
+func (d *Dispatcher) Finished(fingerprint uint64) {
+	d.do(func() { d.poison.Finished(d.clock.Now(), fingerprint) })
+}
+
+// suspected returns the suspects to tell other instances.
+func (d *Dispatcher) suspected(now time.Time) []quarantiner.Entry {
+	entries := d.poison.Share(now)
+	d.suspects.Store(!d.poison.Empty())
+
+	return entries[:min(len(entries), suspectsTold)]
+}
+
+// suspect takes in another instance's suspects.
+func (d *Dispatcher) suspect(now time.Time, entries []quarantiner.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	d.poison.Merge(now, entries)
+	d.suspects.Store(!d.poison.Empty())
+}
--- a/internal/dispatcher/word.go
+++ b/internal/dispatcher/word.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 )
 
 // Word is what instances tell each other.
@@ -14,6 +15,8 @@
 	Reads map[string][]uint64
 	// Demands are what arrives at the teller by service.
 	Demands map[string]placer.Demand
+	// Suspects are requests that crashed endpoints.
+	Suspects []quarantiner.Entry
 	// Vouch is what the teller knows from the platform.
 	Vouch Vouch
 }
@@ -46,6 +49,7 @@
 		word.Loads = d.placer.Loads()
 		word.Reads = d.placer.Reads(now)
 		word.Demands = d.placer.Demands(now)
+		word.Suspects = d.suspected(now)
 		configuration, endpoints := d.ages()
 		if configuration >= 0 {
 			word.Vouch.Number, word.Vouch.Age = d.current.Load().Number(), configuration
@@ -63,6 +67,7 @@
 	d.do(func() {
 		d.placer.Heard(d.clock.Now(), peer, word.Loads, word.Demands)
 		d.placer.HeardReads(word.Reads)
+		d.suspect(d.clock.Now(), word.Suspects)
 	})
 }
 
--- a/internal/gossiper/word.go
+++ b/internal/gossiper/word.go
@@ -6,6 +6,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 )
 
 // word is what this instance tells one that knows so many others.
@@ -48,9 +49,40 @@
 		})
 	}
 
+	now := time.Now()
+	for _, entry := range state.Suspects {
+		word.Suspects = append(word.Suspects, encodeSuspect(now, entry))
+	}
+
 	return word
 }
 
+func encodeSuspect(now time.Time, entry quarantiner.Entry) *gossipwire.Suspect {
+	suspect := &gossipwire.Suspect{Fingerprint: entry.Fingerprint, Sure: entry.Sure}
+	if !entry.Cleared.IsZero() {
+		suspect.ClearedAgeMs = max(1, milliseconds(now.Sub(entry.Cleared)))
+	}
+	for _, crash := range entry.Crashes {
+		suspect.Crashes = append(suspect.Crashes, &gossipwire.Crash{Endpoint: crash.Name, AgeMs: milliseconds(now.Sub(crash.At))})
+	}
+
+	return suspect
+}
+
+func decodeSuspect(now time.Time, suspect *gossipwire.Suspect) quarantiner.Entry {
+	entry := quarantiner.Entry{Fingerprint: suspect.GetFingerprint(), Sure: suspect.GetSure()}
+	if age := suspect.GetClearedAgeMs(); age > 0 {
+		entry.Cleared = now.Add(-time.Duration(age) * time.Millisecond)
+	}
+	for _, crash := range suspect.GetCrashes() {
+		entry.Crashes = append(entry.Crashes, quarantiner.Crash{
+			Name: crash.GetEndpoint(), At: now.Add(-time.Duration(crash.GetAgeMs()) * time.Millisecond),
+		})
+	}
+
+	return entry
+}
+
 func milliseconds(age time.Duration) uint32 {
 	return uint32(min(max(0, age.Milliseconds()), 1<<31))
 }
@@ -70,6 +102,10 @@
 		}
 	}
 
+	now := time.Now()
+	for _, suspect := range word.GetSuspects() {
+		decoded.Suspects = append(decoded.Suspects, decodeSuspect(now, suspect))
+	}
 	decoded.Vouch = dispatcher.Vouch{
 		Number:       word.GetNumber(),
 		Age:          time.Duration(word.GetAgeMs()) * time.Millisecond,
--- a/internal/lab/piper/piper.go
+++ b/internal/lab/piper/piper.go
@@ -52,6 +52,24 @@
 	}()
 }
 
+// ServeConn gives the connections to a name to a handler, for servers that do
+// not keep to HTTP.
+func (n *Network) ServeConn(name string, handle func(net.Conn)) {
+	added := &server{http: &http.Server{ReadHeaderTimeout: time.Minute}, accept: make(chan net.Conn), done: make(chan struct{})}
+	n.mu.Lock()
+	n.servers[name] = added
+	n.mu.Unlock()
+	go func() {
+		for {
+			conn, err := added.Accept()
+			if err != nil {
+				return
+			}
+			go handle(conn)
+		}
+	}()
+}
+
 // Stop closes the server with a name and its connections; dials to it are
 // refused from then on.
 func (n *Network) Stop(name string) {
@@ -60,6 +78,7 @@
 	delete(n.servers, name)
 	n.mu.Unlock()
 	if ok {
+		_ = stopped.Close()
 		_ = stopped.http.Close() // Closing a pipe cannot fail.
 	}
 }
@@ -79,10 +98,11 @@
 
 // Client returns an HTTP client with connections of its own.
 func (n *Network) Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: n.dial, MaxIdleConnsPerHost: 64}}
+	return &http.Client{Transport: &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: 64}}
 }
 
-func (n *Network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+// Dial connects to the server with the name in the address NAME:PORT.
+func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	name, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, err
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -24,6 +24,8 @@
 	// staleWait is the time in which the balancer's callers reach another
 	// instance.
 	staleWait = 100 * time.Millisecond
+	// heldWait is the time in which a crashed endpoint starts again.
+	heldWait = 10 * time.Second
 	// fullWait is about the time in which a full endpoint ends some requests.
 	fullWait = 250 * time.Millisecond
 )
@@ -127,6 +129,9 @@
 }
 
 func (j *job) served(t *trial) {
+	if j.relayer.control.Suspects() {
+		j.relayer.control.Finished(j.fingerprint())
+	}
 	took := time.Since(j.received)
 	j.relayer.meter.Took(j.route.Kind.String(), took)
 	j.relayer.logger.Info("Answered.", "request", j.envelope.ID, "route", j.route.Name, "workspace", j.order.Workspace,
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"hash/fnv"
 	"io"
 	"net/http"
 	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -82,7 +84,6 @@
 	attempt := retrier.Attempt{
 		Ran:        j.ran,
 		Repeatable: j.route.Repeatable(),
-		Begun:      j.begun,
 		Runs:       j.runs,
 		MostRuns:   j.route.Tries,
 		Refusals:   j.refusals,
@@ -140,6 +141,9 @@
 	defer cancel()
 	conn, err := j.relayer.endpoints.Open(ctx, t.placement.Address)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			j.relayer.control.Down(t.placement)
+		}
 		j.broken(ctx, t, err)
 
 		return
@@ -172,11 +176,26 @@
 	if ctx.Err() != nil || errors.Is(cause, errStale) {
 		t.result = placer.Canceled
 	}
+	if t.ran && t.result == placer.Failed {
+		j.relayer.control.Broke(t.placement, j.fingerprint())
+	}
 	if t.conn != nil {
 		t.conn.Close()
 	}
 }
 
+// fingerprint names what the request asks for, by whom.
+func (j *job) fingerprint() uint64 {
+	sum := fnv.New64a()
+	for _, field := range []string{j.incoming.Method, j.incoming.Host, j.incoming.RequestURI, j.order.Workspace} {
+		_, _ = sum.Write([]byte(field))
+		_, _ = sum.Write([]byte{0})
+	}
+	_, _ = sum.Write(j.body)
+
+	return sum.Sum64()
+}
+
 // request makes the request to an endpoint.
 func (j *job) request(ctx context.Context, placement dispatcher.Placement) *http.Request {
 	order := j.order
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -130,6 +130,9 @@
 	if err := j.read(); err != nil {
 		return err
 	}
+	if j.relayer.control.Suspects() && j.relayer.control.HeldBack(j.fingerprint()) {
+		return answerer.New(answerer.KindHeldBack, "The request crashed endpoints.").WithRetryAfter(heldWait)
+	}
 	j.limit()
 	j.aim()
 
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -93,7 +93,7 @@
 			Length: settings.RetryWindow, Share: settings.RetryShare, Burst: settings.RetryBurst,
 		},
 	}, dispatcher.Clock{Now: time.Now, Boot: clock.Boot}, logger.Named("dispatcher"))
-	r.links = connector.New(connector.DefaultSettings())
+	r.links = connector.New(connector.DefaultSettings(), connector.NewDial(connector.DefaultSettings()))
 	r.relayer = relayer.New(platform.Codec, r.control, r.links, counters, logger.Named("relayer"), rand.Uint64)
 	store := storer.New(settings.Platform, &http.Client{Transport: storeTransport()}).
 		WithTimeout(storeTimeout).WithDialect(platform.Dialect)
--- a/pkg/answerer/answer.go
+++ b/pkg/answerer/answer.go
@@ -80,6 +80,7 @@
 	KindTimeout:           row("timeout", http.StatusGatewayTimeout, Unknown, 0),
 	KindCanceled:          row("canceled", statusClientClosed, Unknown, 0),
 	KindNoConfiguration:   row("no-configuration", http.StatusServiceUnavailable, NotRun, shortWait),
+	KindHeldBack:          row("held-back", http.StatusServiceUnavailable, NotRun, poisoned),
 	KindInternal:          row("internal", http.StatusInternalServerError, Unknown, 0),
 }
 
--- a/pkg/answerer/kind.go
+++ b/pkg/answerer/kind.go
@@ -71,6 +71,10 @@
 	// knew a configuration.
 	KindNoConfiguration
 
+	// KindHeldBack is a request that crashed endpoints and is not run for a
+	// while, told as one that may come back.
+	KindHeldBack
+
 	kindCount
 )
 
--- /dev/null
+++ b/pkg/freshener/freshener_test.go
@@ -0,0 +1,74 @@
+package freshener_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderpick/oleanderpick/pkg/freshener"
+)
+
+// A key that was taken away at a time is never let pass later than a lifetime
+// after it, whatever confirmations come in whatever order: each was sent before
+// the key was taken away, or the instance knows that it was.
+func TestTakenKeyEndsWithTheLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const lifetime = 5 * time.Second
+		taken := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "taken"))
+		lease := freshener.New(lifetime)
+		for range rapid.IntRange(0, 10).Draw(t, "confirmations") {
+			lease.Confirm(time.Duration(rapid.Int64Range(0, int64(taken)).Draw(t, "sent")))
+		}
+		late := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "late"))
+		assert.Assert(t, !lease.Fresh(taken+lifetime+late))
+	})
+}
+
+func TestSuspensionCounts(t *testing.T) {
+	lease := freshener.New(time.Second)
+	assert.Assert(t, !lease.Fresh(0), "nothing is known yet")
+	lease.Confirm(10 * time.Second)
+	assert.Assert(t, lease.Fresh(10*time.Second+999*time.Millisecond))
+	assert.Assert(t, !lease.Fresh(15*time.Second), "the machine was suspended")
+	assert.Assert(t, !lease.Fresh(9*time.Second), "the clock went back")
+}
+
+var pace = freshener.Pace{
+	Young: 450 * time.Millisecond, Old: 1100 * time.Millisecond,
+	Retry: 150 * time.Millisecond, RetryOthers: 500 * time.Millisecond, Readers: 2,
+}
+
+func TestFewRead(t *testing.T) {
+	reads := func(rank int) int {
+		count := 0
+		standing := freshener.Standing{Rank: rank, Known: true}
+		for range 100 { // Peers pass on what is half a second old.
+			standing.Age = 500 * time.Millisecond
+			if pace.Due(standing) {
+				count++
+			}
+		}
+
+		return count
+	}
+	assert.Equal(t, reads(0), 100)
+	assert.Equal(t, reads(1), 0)
+	assert.Equal(t, reads(6), 0)
+}
+
+func TestAnyoneReadsWhatIsOld(t *testing.T) {
+	assert.Assert(t, pace.Due(freshener.Standing{Rank: 50, Known: true, Age: 1100 * time.Millisecond}))
+	assert.Assert(t, pace.Due(freshener.Standing{Rank: 50}), "nothing is known")
+}
+
+func TestFailedReadsSpreadOut(t *testing.T) {
+	due := func(rank, failures int, since time.Duration) bool {
+		return pace.Due(freshener.Standing{Rank: rank, Known: true, Age: time.Minute, Failures: failures, SinceTry: since})
+	}
+	assert.Assert(t, due(0, 1, 150*time.Millisecond))
+	assert.Assert(t, !due(5, 1, 150*time.Millisecond))
+	assert.Assert(t, !due(0, 4, 900*time.Millisecond))
+	assert.Assert(t, due(5, 40, 1100*time.Millisecond), "never more seldom than what is old")
+}
--- /dev/null
+++ b/pkg/matcher/matcher_test.go
@@ -0,0 +1,72 @@
+package matcher_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderpick/oleanderpick/pkg/matcher"
+)
+
+// naive looks through all routes.
+func naive(routes []matcher.Route, host, path string) (best matcher.Route, found bool) {
+	for _, route := range routes {
+		if route.Host == host && strings.HasPrefix(path, route.Prefix) && len(route.Prefix) > len(best.Prefix) {
+			best, found = route, true
+		}
+	}
+
+	return best, found
+}
+
+func TestLongestPrefixAsNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		segment := rapid.SampledFrom([]string{"a", "b", "ab", ""})
+		path := rapid.Custom(func(t *rapid.T) string {
+			return "/" + strings.Join(rapid.SliceOfN(segment, 0, 4).Draw(t, "segments"), "/")
+		})
+		routes := []matcher.Route{}
+		taken := map[string]bool{}
+		for i := range rapid.IntRange(0, 8).Draw(t, "routes") {
+			prefix := strings.TrimSuffix(path.Draw(t, "prefix"), "/") + "/"
+			host := rapid.SampledFrom([]string{"x.example", "y.example"}).Draw(t, "host")
+			if taken[host+prefix] {
+				continue
+			}
+			taken[host+prefix] = true
+			routes = append(routes, matcher.Route{Name: fmt.Sprint(i), Host: host, Prefix: prefix})
+		}
+		asked := path.Draw(t, "path")
+		want, found := naive(routes, "x.example", asked)
+		got, ok := matcher.New(matcher.Configuration{Routes: routes}).Route("X.example:80", asked)
+		assert.Equal(t, ok, found)
+		assert.Equal(t, got.Name, want.Name)
+	})
+}
+
+func TestSplitByWeight(t *testing.T) {
+	route := matcher.Route{Shares: []matcher.Share{{"a", 90}, {"b", 10}, {"none", 0}}}
+	counts := map[string]int{}
+	for i := range uint64(1000) {
+		counts[route.Service(i)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
+	assert.Equal(t, matcher.Route{}.Service(7), "")
+}
+
+func TestRepeatableByKindOnly(t *testing.T) {
+	assert.Assert(t, matcher.Route{Kind: matcher.Idempotent}.Repeatable())
+	assert.Assert(t, matcher.Route{Kind: matcher.Streaming, Resumable: true}.Repeatable())
+	assert.Assert(t, !matcher.Route{Kind: matcher.Streaming}.Repeatable())
+	assert.Assert(t, !matcher.Route{Resumable: true}.Repeatable(), "a kind that is not known is not repeated")
+}
+
+func ExampleMatcher_Workspace() {
+	m := matcher.New(matcher.Configuration{Workspaces: []matcher.Workspace{{Name: "clinic", Keys: []string{"k1", "k2"}}}})
+	workspace, known := m.Workspace("k2")
+	fmt.Println(workspace.Name, known, m.Keyed())
+	// Output: clinic true true
+}
--- /dev/null
+++ b/pkg/placer/placer_test.go
@@ -0,0 +1,275 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/registrar"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	shared = 6300 // tokens that the prompts of a family begin with
+	own    = 2890 // tokens of one prompt
+)
+
+func engines(n int) []registrar.Endpoint {
+	var registered []registrar.Endpoint
+	for i := range n {
+		registered = append(registered, registrar.Endpoint{
+			ID: fmt.Sprintf("e%02d", i), Service: "llm", Address: fmt.Sprintf("10.0.0.%d:80", i),
+			DataCentre: fmt.Sprintf("dc%d", i%3), Slots: 64,
+		})
+	}
+
+	return registered
+}
+
+func newPlacer(name string, registered []registrar.Endpoint) *placer.Placer {
+	p := placer.New(placer.Settings{Name: name, DataCentre: "dc0"})
+	p.Configure(registered)
+
+	return p
+}
+
+// long asks for a prompt of a family; serial tells prompts apart.
+func long(family, serial uint64) placer.Ask {
+	return placer.Ask{
+		Service: "llm", Prompt: shared + own, Output: 50, Copies: true, Target: 600 * time.Millisecond,
+		Parts: []placer.Part{{ID: family, Tokens: shared}, {ID: 1<<32 | serial, Tokens: own}},
+	}
+}
+
+func short() placer.Ask {
+	return placer.Ask{Service: "llm", Prompt: 800, Output: 300, Copies: true, Target: 300 * time.Millisecond}
+}
+
+func pick(t *testing.T, p *placer.Placer, now time.Time, ask placer.Ask) placer.Choice {
+	t.Helper()
+	choice, ok := p.Pick(now, ask)
+	assert.Assert(t, ok)
+
+	return choice
+}
+
+// A family of long prompts stays on one engine, on every instance, and is told
+// as cached the second time.
+func TestFamilyStaysTogetherOnAllInstances(t *testing.T) {
+	first, second := newPlacer("a", engines(9)), newPlacer("b", engines(9))
+	for family := range uint64(20) {
+		one := pick(t, first, start, long(family, 1))
+		other := pick(t, second, start, long(family, 2))
+		assert.Equal(t, one.ID, other.ID)
+		assert.Equal(t, one.Fresh, shared+own)
+		first.Start(start, family, one, long(family, 1))
+		first.First(start, family)
+		first.End(start, family, placer.Finished)
+		again := pick(t, first, start, long(family, 3))
+		assert.Equal(t, again.ID, one.ID)
+		assert.Equal(t, again.Fresh, own)
+	}
+}
+
+// A burst of long prompts beside running streams: nearly none of them lands on
+// an engine while it runs streams, though each stream lasts two seconds.
+func TestLongPromptsKeepAwayFromStreams(t *testing.T) {
+	const lasts = 100 // steps
+	p := newPlacer("a", engines(9))
+	running := map[string]int{}
+	var placed []string
+	mixed := 0
+	for step := range 400 {
+		now, id := start.Add(time.Duration(step)*20*time.Millisecond), uint64(step)
+		choice := pick(t, p, now, short())
+		p.Start(now, id, choice, short())
+		p.First(now, id)
+		placed = append(placed, choice.ID)
+		running[choice.ID]++
+		if step >= lasts {
+			p.End(now, id-lasts, placer.Finished)
+			running[placed[step-lasts]]--
+		}
+		if step%2 == 1 {
+			continue
+		}
+		ask := long(id%50, id)
+		choice = pick(t, p, now, ask)
+		p.Start(now, id+1<<20, choice, ask)
+		p.First(now.Add(100*time.Millisecond), id+1<<20)
+		p.End(now.Add(200*time.Millisecond), id+1<<20, placer.Finished)
+		if running[choice.ID] > 0 {
+			mixed++
+		}
+	}
+	assert.Assert(t, mixed <= 10, "%d of 200 long prompts beside streams", mixed)
+}
+
+// A surge of short prompts fills the engines of its group and then takes slots
+// elsewhere rather than wait for one.
+func TestFullEnginesArePassedOver(t *testing.T) {
+	p := newPlacer("a", engines(4))
+	counts := map[string]int{}
+	for id := range uint64(4 * 64) {
+		choice := pick(t, p, start, short())
+		p.Start(start, id, choice, short())
+		p.First(start, id)
+		counts[choice.ID]++
+	}
+	for engine, count := range counts {
+		assert.Assert(t, count <= 64, "engine %s runs %d", engine, count)
+	}
+	assert.Equal(t, len(counts), 4)
+}
+
+// What another instance runs counts, so that instances do not all fill the
+// engine that looks free to each of them.
+func TestWhatPeersRunCounts(t *testing.T) {
+	p := newPlacer("b", engines(1))
+	p.Configure(engines(3)[:2])
+	before := pick(t, p, start, short())
+	p.Heard(start, "a", map[string]placer.Load{before.ID: {Running: 40, Short: 40}}, nil)
+	after := pick(t, p, start, short())
+	// Only one of two engines is for short prompts; it stays in use until it
+	// is full.
+	assert.Equal(t, after.ID, before.ID)
+	p.Heard(start, "a", map[string]placer.Load{before.ID: {Running: 64, Short: 64}}, nil)
+	assert.Assert(t, pick(t, p, start, short()).ID != before.ID)
+	assert.Equal(t, pick(t, p, start.Add(time.Minute), short()).ID, before.ID, "an old word counts no more")
+}
+
+// The instances agree on the border: they take it from the first of them.
+func TestOneInstanceDecidesTheBorder(t *testing.T) {
+	p := newPlacer("b", engines(9))
+	told := map[string]placer.Demand{"llm": {Short: 3, Long: 1, Border: 7, Engines: 9}}
+	p.Heard(start, "a", nil, told)
+	assert.Equal(t, pick(t, p, start, short()).Border, 7)
+	told["llm"] = placer.Demand{Short: 3, Long: 1, Border: 2, Engines: 9}
+	p.Heard(start, "c", nil, told)
+	assert.Equal(t, pick(t, p, start, short()).Border, 7, "c comes after b")
+}
+
+// When the engines are behind with prompts, further ones are put off at once.
+func TestBacklogPutsLongPromptsOff(t *testing.T) {
+	p := newPlacer("a", engines(2))
+	var later time.Duration
+	put := 0
+	for id := range uint64(30) {
+		ask := long(id, id)
+		choice := pick(t, p, start, ask)
+		wait, postponed := p.Postpone(ask, choice)
+		if postponed {
+			put++
+			later = wait
+
+			continue
+		}
+		p.Start(start, id, choice, ask)
+	}
+	assert.Assert(t, put >= 25, "%d of 30 put off", put)
+	assert.Assert(t, later > 500*time.Millisecond && later < 5*time.Second, "back after %s", later)
+	_, postponed := p.Postpone(short(), pick(t, p, start, short()))
+	assert.Assert(t, !postponed, "short prompts are not put off")
+}
+
+// A request that goes to an engine without its shared part says who has it.
+func TestSharedPartsAreCopied(t *testing.T) {
+	p := newPlacer("a", engines(9))
+	ask := long(1, 1)
+	first := pick(t, p, start, ask)
+	p.Start(start, 1, first, ask)
+	ask.Avoid = []string{first.ID}
+	second := pick(t, p, start, ask)
+	assert.Assert(t, second.ID != first.ID)
+	assert.Equal(t, second.Source, first.Address)
+	ask.Copies = false
+	assert.Equal(t, pick(t, p, start, ask).Source, "")
+}
+
+// A part that an engine read for another instance counts as cached there.
+func TestReadsOfPeersAreKnown(t *testing.T) {
+	a, b := newPlacer("a", engines(9)), newPlacer("b", engines(9))
+	ask := long(1, 1)
+	choice := pick(t, a, start, ask)
+	a.Start(start, 1, choice, ask)
+	b.HeardReads(a.Reads(start))
+	assert.Equal(t, pick(t, b, start, long(1, 2)).Fresh, own)
+	assert.Equal(t, len(a.Reads(start.Add(time.Minute))), 0)
+}
+
+func plain(n int) []registrar.Endpoint {
+	registered := engines(n)
+	for i := range registered {
+		registered[i].Service, registered[i].Slots = "api", 6
+	}
+
+	return registered
+}
+
+// An endpoint that fails is left alone for a while, longer with each time, and
+// comes back; one that runs through is forgiven.
+func TestFailingEndpointIsEjected(t *testing.T) {
+	p := newPlacer("a", plain(3))
+	ask := placer.Ask{Service: "api"}
+	bad := pick(t, p, start, ask)
+	for id := range uint64(2) {
+		p.Start(start, id, bad, ask)
+		p.End(start, id, placer.Failed)
+	}
+	assert.Assert(t, pick(t, p, start, ask).ID != bad.ID)
+	assert.Equal(t, pick(t, p, start.Add(time.Second), ask).ID, bad.ID)
+}
+
+// When all endpoints look bad, requests are still tried somewhere.
+func TestLastEndpointIsNotEjected(t *testing.T) {
+	p := newPlacer("a", plain(1))
+	ask := placer.Ask{Service: "api"}
+	only := pick(t, p, start, ask)
+	for id := range uint64(5) {
+		p.Start(start, id, only, ask)
+		p.End(start, id, placer.Failed)
+	}
+	assert.Equal(t, pick(t, p, start, ask).ID, only.ID)
+}
+
+func TestNoRequestGoesToEndpoints(t *testing.T) {
+	for name, change := range map[string]func(*registrar.Endpoint){
+		"that drain":           func(e *registrar.Endpoint) { e.Draining = true },
+		"of another service":   func(e *registrar.Endpoint) { e.Service = "other" },
+		"whose address is not": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			registered := plain(1)
+			p := newPlacer("a", registered)
+			ask := placer.Ask{Service: "api"}
+			if change == nil {
+				p.Start(start, 1, pick(t, p, start, ask), ask)
+				p.End(start, 1, placer.Misdirected)
+			} else {
+				change(&registered[0])
+				p.Configure(registered)
+			}
+			_, ok := p.Pick(start, ask)
+			assert.Assert(t, !ok)
+		})
+	}
+}
+
+// A new life under an old id knows nothing of before.
+func TestRebornEndpointStartsAnew(t *testing.T) {
+	registered := engines(1)
+	p := newPlacer("a", registered)
+	ask := long(1, 1)
+	p.Start(start, 1, pick(t, p, start, ask), ask)
+	assert.Equal(t, pick(t, p, start, long(1, 2)).Fresh, own)
+	registered[0].Born = 7
+	p.Configure(registered)
+	choice := pick(t, p, start, long(1, 2))
+	assert.Equal(t, choice.Fresh, shared+own)
+	p.End(start, 1, placer.Failed) // Must not count against the new life.
+	assert.Equal(t, p.Loads()[choice.ID], placer.Load{})
+}
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -93,6 +93,20 @@
 	}
 }
 
+// Held reports whether a fingerprint is in quarantine. Unlike Verdict it lets
+// suspects run, any number at once: it is for callers that cannot run a request
+// alone.
+func (q *Quarantiner) Held(now time.Time, fingerprint uint64) bool {
+	e := q.live(now, fingerprint)
+
+	return e != nil && now.Before(e.until(q.settings))
+}
+
+// Empty reports whether nothing is suspected.
+func (q *Quarantiner) Empty() bool {
+	return len(q.entries) == 0
+}
+
 // Trying reports whether a suspect runs alone at present, so that its copies
 // had better wait for how that ends.
 func (q *Quarantiner) Trying(now time.Time, fingerprint uint64) bool {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -80,18 +80,6 @@
 	r.publish()
 }
 
-// Change takes in entries that were written and names that were removed. Call
-// Reached first.
-func (r *Registrar) Change(now time.Time, written []Endpoint, removed []string) {
-	for _, endpoint := range written {
-		r.set(endpoint)
-	}
-	for _, id := range removed {
-		r.lose(now, id)
-	}
-	r.publish()
-}
-
 func (r *Registrar) set(endpoint Endpoint) {
 	r.entries[endpoint.ID] = endpoint
 	delete(r.missing, endpoint.ID)
--- a/pkg/retrier/attempt.go
+++ b/pkg/retrier/attempt.go
@@ -9,8 +9,6 @@
 	Ran bool
 	// Repeatable requests may run more than once.
 	Repeatable bool
-	// Begun tells that a part of the answer has left for the caller.
-	Begun bool
 	// Runs is the tries that may have run, of at most MostRuns.
 	Runs, MostRuns int
 	// Refusals is the tries that certainly did not run.
