--- a/pkg/retrier/window_test.go
+++ b/pkg/retrier/window_test.go
@@ -64,13 +64,13 @@
 		attempt retrier.Attempt
 		want    string
 	}{
-		"certainly not run":            {retrier.Attempt{Refusals: 1, MostRuns: 1, Remaining: left}, retrier.ReasonNone},
-		"refused often":                {retrier.Attempt{Refusals: 3, MostRuns: 2, Remaining: left}, retrier.ReasonRefusals},
-		"may have run":                 {retrier.Attempt{Ran: true, Runs: 1, MostRuns: 2, Remaining: left}, retrier.ReasonMayHaveRun},
-		"may have run, then refused":   {retrier.Attempt{Ran: true, Runs: 1, Refusals: 1, MostRuns: 2, Remaining: left}, retrier.ReasonMayHaveRun},
-		"repeatable":                   {retrier.Attempt{Ran: true, Repeatable: true, Runs: 1, MostRuns: 2, Remaining: left}, retrier.ReasonNone},
-		"repeatable and out of tries":  {retrier.Attempt{Ran: true, Repeatable: true, Runs: 2, MostRuns: 2, Remaining: left}, retrier.ReasonTries},
-		"repeatable and out of time":   {retrier.Attempt{Ran: true, Repeatable: true, Runs: 1, MostRuns: 2}, retrier.ReasonDeadline},
+		"certainly not run":           {retrier.Attempt{Refusals: 1, MostRuns: 1, Remaining: left}, retrier.ReasonNone},
+		"refused often":               {retrier.Attempt{Refusals: 3, MostRuns: 2, Remaining: left}, retrier.ReasonRefusals},
+		"may have run":                {retrier.Attempt{Ran: true, Runs: 1, MostRuns: 2, Remaining: left}, retrier.ReasonMayHaveRun},
+		"may have run, then refused":  {retrier.Attempt{Ran: true, Runs: 1, Refusals: 1, MostRuns: 2, Remaining: left}, retrier.ReasonMayHaveRun},
+		"repeatable":                  {retrier.Attempt{Ran: true, Repeatable: true, Runs: 1, MostRuns: 2, Remaining: left}, retrier.ReasonNone},
+		"repeatable and out of tries": {retrier.Attempt{Ran: true, Repeatable: true, Runs: 2, MostRuns: 2, Remaining: left}, retrier.ReasonTries},
+		"repeatable and out of time":  {retrier.Attempt{Ran: true, Repeatable: true, Runs: 1, MostRuns: 2}, retrier.ReasonDeadline},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, test.attempt.Allowed(), test.want) })
 	}
