relayer: Leave endpoints that hang or fall silent where a request may be repeated

Cause: an idempotent request at a hanging server waited for its timeout; a stream that may be resumed waited for a silent server until its caller left.

The repeat is taken from the shared bound before the try is ended.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -120,20 +120,18 @@
 	}
 }
 
-// do runs an event on the control goroutine and waits for it. It reports false
-// when that has ended.
-func (d *Dispatcher) do(event func()) bool {
+// do runs an event on the control goroutine and waits for it. When that has
+// ended, nothing runs.
+func (d *Dispatcher) do(event func()) {
 	ran := make(chan struct{})
 	select {
 	case d.events <- func() { event(); close(ran) }:
 	case <-d.done:
-		return false
+		return
 	}
 	select {
 	case <-ran:
-		return true
 	case <-d.done:
-		return false
 	}
 }
 
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -46,7 +46,7 @@
 		begun := time.Now()
 		boot := func() time.Duration { return time.Since(begun) + time.Hour }
 		network := piper.New()
-		var instances []instance
+		instances := make([]instance, 0, count)
 		for i := range count {
 			name := fmt.Sprintf("i%d", i)
 			control := dispatcher.New(dispatcher.Settings{
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -27,8 +27,9 @@
 	// done says that the caller has the final answer.
 	done bool
 	// ran says that the endpoint may have run the request.
-	ran    bool
-	result placer.Result
+	ran     bool
+	result  placer.Result
+	staller *staller
 	// cause is why there is no answer to pass on; nil: there is one.
 	cause error
 }
@@ -93,6 +94,8 @@
 	switch {
 	case errors.Is(t.cause, errStale) && !j.ran:
 		reason = retrier.ReasonFinal
+	case errors.Is(t.cause, errStalled):
+		reason = retrier.ReasonNone // It was taken from the bound already.
 	case ctx.Err() == nil:
 		reason = j.relayer.control.Repeat(j.ask.Service, attempt)
 	}
@@ -137,8 +140,10 @@
 
 // try sends the request to the placed endpoint and passes its answer on.
 func (j *job) try(ctx context.Context, t *trial) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t.staller = j.stall(t.placement, cancel)
+	defer t.staller.stop()
 	conn, err := j.relayer.endpoints.Open(ctx, t.placement.Address)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -150,7 +155,7 @@
 	}
 	t.conn = conn
 	request := j.request(ctx, t.placement)
-	t.response, err = conn.Send(request, j.mayLeave)
+	t.response, err = conn.Send(request, j.mayLeave) //nolint:bodyclose // Read to its end or closed with the connection.
 	if err != nil {
 		t.ran = !errors.Is(err, connector.ErrNotSent)
 		j.broken(ctx, t, err)
@@ -173,10 +178,14 @@
 func (j *job) broken(ctx context.Context, t *trial, cause error) {
 	t.cause = cause
 	t.result = placer.Failed
-	if ctx.Err() != nil || errors.Is(cause, errStale) {
+	stalled := errors.Is(context.Cause(ctx), errStalled)
+	switch {
+	case stalled:
+		t.cause = errStalled
+	case ctx.Err() != nil || errors.Is(cause, errStale):
 		t.result = placer.Canceled
 	}
-	if t.ran && t.result == placer.Failed {
+	if t.ran && t.result == placer.Failed && !stalled {
 		j.relayer.control.Broke(t.placement, j.fingerprint())
 	}
 	if t.conn != nil {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -14,13 +14,8 @@
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 )
 
-const (
-	// aliveInterval is how often a stream tells that its endpoint lives.
-	aliveInterval = 250 * time.Millisecond
-	// silenceMost is the silence of an endpoint on all its streams after
-	// which one that may be resumed goes on elsewhere.
-	silenceMost = 900 * time.Millisecond
-)
+// aliveInterval is how often a stream tells that its endpoint lives.
+const aliveInterval = 250 * time.Millisecond
 
 func eventStream(header http.Header) bool {
 	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
@@ -54,6 +49,7 @@
 
 			return
 		}
+		t.staller.heard()
 		now := time.Now()
 		if first {
 			j.relayer.control.First(t.placement)
--- a/internal/relayer/stream_test.go
+++ b/internal/relayer/stream_test.go
@@ -105,3 +105,18 @@
 		assert.NilError(t, err)
 	})
 }
+
+// A stream whose endpoint falls silent goes on elsewhere where it may; what is
+// merely slow between two events is waited for.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		w.endpoints(events(3, func(io.Writer) { time.Sleep(time.Hour) }), events(5, nil))
+		begun := time.Now()
+		_, body, err := w.send(w.request(http.MethodPost, "/resume/x", "prompt"))
+		assert.NilError(t, err)
+		assert.Equal(t, body, whole(5))
+		assert.Equal(t, w.arrived(), 2)
+		assert.Assert(t, time.Since(begun) < 2*time.Second)
+		time.Sleep(time.Hour)
+	})
+}
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -199,7 +199,9 @@
 	}
 	r.stop()
 	cancel()
-	<-ended
+	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+		r.logger.Warn("Supervisor ended.", "error", err)
+	}
 	r.links.Close()
 	r.logger.Info("Stopped.")
 
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -19,7 +19,7 @@
 )
 
 func engines(n int) []registrar.Endpoint {
-	var registered []registrar.Endpoint
+	registered := make([]registrar.Endpoint, 0, n)
 	for i := range n {
 		registered = append(registered, registrar.Endpoint{
 			ID: fmt.Sprintf("e%02d", i), Service: "llm", Address: fmt.Sprintf("10.0.0.%d:80", i),
