relayer, spooler, announcer: Log each placement without waiting; find instances in the store

Cause: a failed request could not be explained from the log alone (who chose the endpoint, by what); a full output would have held requests up; instances whose seeds are stale found nobody.

--- a/internal/commands/relay.go
+++ b/internal/commands/relay.go
@@ -3,11 +3,13 @@
 import (
 	"flag"
 	"fmt"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/oleanderpick/oleanderpick/internal/common/flagger"
+	"github.com/oleanderpick/oleanderpick/internal/common/spooler"
 	"github.com/oleanderpick/oleanderpick/internal/configurer"
 	"github.com/oleanderpick/oleanderpick/internal/relayrunner"
 	"github.com/oleanderpick/oleanderpick/platform"
@@ -24,11 +26,13 @@
 
 		return exitInvalid
 	}
+	lines := spooler.New(spooler.DefaultSettings(), c.output, time.Now)
+	defer lines.Close()
 	logger := hclog.New(&hclog.LoggerOptions{
 		Name:       "oleanderpick",
 		Level:      hclog.LevelFromString(settings.LogLevel),
 		JSONFormat: true,
-		Output:     c.output,
+		Output:     lines,
 	})
 	stop, _ := signals()
 	runner := relayrunner.New(settings, relayrunner.Platform{
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -134,9 +134,8 @@
 	}
 	took := time.Since(j.received)
 	j.relayer.meter.Took(j.route.Kind.String(), took)
-	j.relayer.logger.Info("Answered.", "request", j.envelope.ID, "route", j.route.Name, "workspace", j.order.Workspace,
-		"endpoint", t.placement.ID, "remote", t.placement.Remote, "long", t.placement.Long, "fresh", t.placement.Fresh, "copied from", t.placement.Source, "border", t.placement.Border, "expected ms", t.placement.Expected.Milliseconds(),
-		"status", t.response.StatusCode, "runs", j.runs, "first ms", j.first.Milliseconds(), "pause ms", j.pause.Milliseconds(),
+	j.relayer.logger.Info("Answered.", "request", j.envelope.ID, "route", j.route.Name, "endpoint", t.placement.ID,
+		"status", t.response.StatusCode, "runs", j.runs+1, "first ms", j.first.Milliseconds(), "pause ms", j.pause.Milliseconds(),
 		"ms", took.Milliseconds())
 }
 
@@ -175,12 +174,22 @@
 	j.relayer.logger.Info("Passed on an endpoint's failure.", "request", j.envelope.ID, "route", j.route.Name, "status", f.status)
 }
 
+// number is that of the configuration which the request was judged by; 0: none.
+func (j *job) number() uint64 {
+	if j.matcher == nil {
+		return 0
+	}
+
+	return j.matcher.Number()
+}
+
 // refuse gives the caller an answer of this instance.
 func (j *job) refuse(err *answerer.Error) {
 	answer := answerer.Lookup(err.Kind)
 	j.relayer.meter.Refused(err.Kind)
 	j.relayer.logger.Info("Refused.", "request", j.envelope.ID, "route", j.route.Name, "kind", answer.Name,
-		"status", answer.Status, "cause", err.Error(), "retry after ms", err.RetryAfter.Milliseconds(),
+		"status", answer.Status, "outcome", answer.Outcome.String(), "cause", err.Error(), "configuration", j.number(),
+		"fresh configuration", j.relayer.control.Fresh(), "retry after ms", err.RetryAfter.Milliseconds(),
 		"ms", time.Since(j.received).Milliseconds())
 	body, failed := json.Marshal(map[string]string{"error": answer.Name, "outcome": answer.Outcome.String()})
 	if failed != nil {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -60,6 +60,7 @@
 
 			return
 		}
+		j.placed(placement)
 		t := &trial{placement: placement}
 		j.try(ctx, t)
 		j.relayer.control.End(placement, t.result)
@@ -72,6 +73,15 @@
 	}
 }
 
+// placed logs what decided where a try goes.
+func (j *job) placed(p dispatcher.Placement) {
+	j.relayer.logger.Info("Placed.", "request", j.envelope.ID, "route", j.route.Name, "workspace", j.order.Workspace,
+		"tier", j.order.Tier, "service", j.ask.Service, "endpoint", p.ID, "remote", p.Remote, "prompt", j.ask.Prompt,
+		"fresh", p.Fresh, "copied from", p.Source, "long", p.Long, "border", p.Border, "engines", p.Engines,
+		"expected ms", p.Expected.Milliseconds(), "tries before", j.runs+j.refusals,
+		"configuration", j.matcher.Number(), "left ms", time.Until(j.deadline).Milliseconds())
+}
+
 // again records how a try failed and decides whether there is another one. If
 // not, the caller gets the final answer.
 func (j *job) again(ctx context.Context, t *trial) bool {
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/oleanderpick/oleanderpick/internal/announcer"
 	"github.com/oleanderpick/oleanderpick/internal/common/clock"
 	"github.com/oleanderpick/oleanderpick/internal/configurer"
 	"github.com/oleanderpick/oleanderpick/internal/connector"
@@ -52,10 +53,17 @@
 	memoryShare = 0.5
 )
 
+// Reader names and reads the platform's objects.
+type Reader interface {
+	watcher.Reader
+	// Instances is the kind of the instances' own entries.
+	Instances() string
+}
+
 // Platform is how an instance speaks with the platform that it runs on.
 type Platform struct {
 	Dialect   storer.Dialect
-	Reader    watcher.Reader
+	Reader    Reader
 	Codec     relayer.Codec
 	ReadyPath string
 }
@@ -73,6 +81,7 @@
 	callers  *http.Server
 	status   *http.Server
 	peers    *http.Server
+	metrics  *http.Server
 	leaving  atomic.Bool
 	done     chan struct{}
 }
@@ -106,10 +115,15 @@
 		ConnState:         r.idlers.changed,
 		ErrorLog:          logger.Named("callers").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	r.status = &http.Server{Handler: r.statusHandler(platform.ReadyPath, counters), ReadHeaderTimeout: headerTimeout}
+	r.status = &http.Server{Handler: r.statusHandler(platform.ReadyPath), ReadHeaderTimeout: headerTimeout}
+	r.metrics = &http.Server{Handler: counters.Handler(), ReadHeaderTimeout: headerTimeout}
 	r.gossip = r.newGossiper(platform.Reader, counters, logger.Named("gossiper"))
 	r.peers = &http.Server{Handler: r.gossip.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdle}
-	r.plant(logger.Named("supervisor"), reads)
+	announces := announcer.New(announcer.Settings{
+		Kind: platform.Reader.Instances(), Name: settings.Name, Address: settings.PeerListen,
+		Retry: announcer.DefaultRetry, Interval: announcer.DefaultInterval,
+	}, store, r.gossip.Meet, logger.Named("announcer"))
+	r.plant(logger.Named("supervisor"), reads, announces)
 
 	return r
 }
@@ -137,13 +151,15 @@
 }
 
 // plant makes the supervisor tree.
-func (r *Runner) plant(logger hclog.Logger, reads *watcher.Watcher) {
+func (r *Runner) plant(logger hclog.Logger, services ...suture.Service) {
 	r.tree = suture.New("oleanderpick", suture.Spec{EventHook: func(event suture.Event) {
 		logger.Warn("Service event.", "event", event.String())
 	}})
 	r.tree.Add(r.control)
-	r.tree.Add(reads)
 	r.tree.Add(r.gossip)
+	for _, service := range services {
+		r.tree.Add(service)
+	}
 	r.tree.Add(&sweeper{links: r.links, idlers: r.idlers})
 }
 
@@ -156,14 +172,13 @@
 	return 0
 }
 
-func (r *Runner) statusHandler(readyPath string, counters *meter.Meter) http.Handler {
+func (r *Runner) statusHandler(readyPath string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if r.leaving.Load() || !r.control.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.Handle("GET /metrics", counters.Handler())
 
 	return mux
 }
@@ -191,7 +206,8 @@
 	for server, listener := range listeners {
 		go func() { failed <- server.Serve(listener) }()
 	}
-	r.logger.Info("Serving.", "name", r.settings.Name, "data centre", r.settings.DataCentre, "callers", r.settings.Listen)
+	r.logger.Info("Serving.", "name", r.settings.Name, "data centre", r.settings.DataCentre, "callers", r.settings.Listen,
+		"peers", r.settings.PeerListen, "metrics", r.settings.MetricsListen, "key lease", r.settings.KeyLease.String())
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
@@ -210,9 +226,13 @@
 
 func (r *Runner) listen() (map[*http.Server]net.Listener, error) {
 	listeners := map[*http.Server]net.Listener{}
-	for address, server := range map[string]*http.Server{
+	servers := map[string]*http.Server{
 		r.settings.Listen: r.callers, r.settings.StatusListen: r.status, r.settings.PeerListen: r.peers,
-	} {
+	}
+	if r.settings.MetricsListen != "" {
+		servers[r.settings.MetricsListen] = r.metrics
+	}
+	for address, server := range servers {
 		var config net.ListenConfig
 		listener, err := config.Listen(context.Background(), "tcp", address)
 		if err != nil {
@@ -241,4 +261,5 @@
 	}
 	_ = r.status.Close()
 	_ = r.peers.Close()
+	_ = r.metrics.Close()
 }
--- a/pkg/answerer/answer.go
+++ b/pkg/answerer/answer.go
@@ -1,9 +1,6 @@
 package answerer
 
-import (
-	"net/http"
-	"time"
-)
+import "time"
 
 // Outcome says what is known about a request that got no complete answer.
 type Outcome int
@@ -52,36 +49,52 @@
 	poisoned  = 60 * time.Second
 )
 
+// HTTP status codes, by number so that this package needs no server.
+const (
+	badRequest     = 400
+	unauthorized   = 401
+	forbidden      = 403
+	notFound       = 404
+	conflict       = 409
+	tooLarge       = 413
+	unprocessable  = 422
+	tooMany        = 429
+	internalError  = 500
+	badGateway     = 502
+	unavailable    = 503
+	gatewayTimeout = 504
+)
+
 // answers is the table from kind to answer. It is an array so that a kind
 // without a row shows up as an empty name in the table's test.
 var answers = [kindCount]Answer{
-	KindMalformed:         row("malformed", http.StatusBadRequest, NotRun, 0),
-	KindTooLarge:          row("too-large", http.StatusRequestEntityTooLarge, NotRun, 0),
-	KindUnauthorized:      row("unauthorized", http.StatusUnauthorized, NotRun, 0),
-	KindForbidden:         row("forbidden", http.StatusForbidden, NotRun, 0),
-	KindNotFound:          row("not-found", http.StatusNotFound, NotRun, 0),
-	KindQueueFull:         row("queue-full", http.StatusTooManyRequests, NotRun, shortWait),
-	KindEvicted:           row("evicted", http.StatusTooManyRequests, NotRun, longWait),
-	KindExpired:           row("expired", http.StatusServiceUnavailable, NotRun, longWait),
-	KindHopeless:          row("hopeless", http.StatusTooManyRequests, NotRun, longWait),
-	KindLimited:           row("limited", http.StatusTooManyRequests, NotRun, shortWait),
-	KindNoEndpoint:        row("no-endpoint", http.StatusServiceUnavailable, NotRun, longWait),
-	KindQuarantined:       row("quarantined", http.StatusUnprocessableEntity, NotRun, poisoned),
-	KindStopping:          row("stopping", http.StatusServiceUnavailable, NotRun, shortWait),
-	KindStoreDown:         row("store-down", http.StatusServiceUnavailable, NotRun, longWait),
-	KindKeyExpired:        row("key-expired", http.StatusConflict, Unknown, 0),
-	KindKeyReused:         row("key-reused", http.StatusUnprocessableEntity, NotRun, 0),
-	KindRefusedByEndpoint: row("refused", http.StatusServiceUnavailable, NotRun, shortWait),
-	KindRetryBudget:       row("retry-budget", http.StatusServiceUnavailable, NotRun, longWait),
-	KindInProgress:        row("in-progress", http.StatusConflict, Unknown, shortWait),
-	KindUncertain:         row("uncertain", http.StatusBadGateway, Unknown, 0),
-	KindEndpointLost:      row("endpoint-lost", http.StatusBadGateway, Unknown, shortWait),
-	KindTruncated:         row("truncated", http.StatusBadGateway, Partial, shortWait),
-	KindTimeout:           row("timeout", http.StatusGatewayTimeout, Unknown, 0),
+	KindMalformed:         row("malformed", badRequest, NotRun, 0),
+	KindTooLarge:          row("too-large", tooLarge, NotRun, 0),
+	KindUnauthorized:      row("unauthorized", unauthorized, NotRun, 0),
+	KindForbidden:         row("forbidden", forbidden, NotRun, 0),
+	KindNotFound:          row("not-found", notFound, NotRun, 0),
+	KindQueueFull:         row("queue-full", tooMany, NotRun, shortWait),
+	KindEvicted:           row("evicted", tooMany, NotRun, longWait),
+	KindExpired:           row("expired", unavailable, NotRun, longWait),
+	KindHopeless:          row("hopeless", tooMany, NotRun, longWait),
+	KindLimited:           row("limited", tooMany, NotRun, shortWait),
+	KindNoEndpoint:        row("no-endpoint", unavailable, NotRun, longWait),
+	KindQuarantined:       row("quarantined", unprocessable, NotRun, poisoned),
+	KindStopping:          row("stopping", unavailable, NotRun, shortWait),
+	KindStoreDown:         row("store-down", unavailable, NotRun, longWait),
+	KindKeyExpired:        row("key-expired", conflict, Unknown, 0),
+	KindKeyReused:         row("key-reused", unprocessable, NotRun, 0),
+	KindRefusedByEndpoint: row("refused", unavailable, NotRun, shortWait),
+	KindRetryBudget:       row("retry-budget", unavailable, NotRun, longWait),
+	KindInProgress:        row("in-progress", conflict, Unknown, shortWait),
+	KindUncertain:         row("uncertain", badGateway, Unknown, 0),
+	KindEndpointLost:      row("endpoint-lost", badGateway, Unknown, shortWait),
+	KindTruncated:         row("truncated", badGateway, Partial, shortWait),
+	KindTimeout:           row("timeout", gatewayTimeout, Unknown, 0),
 	KindCanceled:          row("canceled", statusClientClosed, Unknown, 0),
-	KindNoConfiguration:   row("no-configuration", http.StatusServiceUnavailable, NotRun, shortWait),
-	KindHeldBack:          row("held-back", http.StatusServiceUnavailable, NotRun, poisoned),
-	KindInternal:          row("internal", http.StatusInternalServerError, Unknown, 0),
+	KindNoConfiguration:   row("no-configuration", unavailable, NotRun, shortWait),
+	KindHeldBack:          row("held-back", unavailable, NotRun, poisoned),
+	KindInternal:          row("internal", internalError, Unknown, 0),
 }
 
 // statusClientClosed is the customary status for a caller that went away; it
