--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -33,6 +33,8 @@
   serve         run one entry instance
   relay         run one instance that relays requests on the users' platform
   check FILE…   validate resource manifests without a platform
+  check -settings FILE
+                validate a settings file of relay
   version       print the version
 `
 
@@ -141,10 +143,16 @@
 func (c *Commands) check(arguments []string) int {
 	set := flag.NewFlagSet("oleanderpick check", flag.ContinueOnError)
 	set.SetOutput(c.output)
-	set.Usage = func() { fmt.Fprintln(c.output, "Usage: oleanderpick check FILE…|FOLDER…") }
+	settings := set.String("settings", "", "settings `file` of relay to check instead of manifests")
+	set.Usage = func() {
+		fmt.Fprintln(c.output, "Usage: oleanderpick check FILE…|FOLDER…\n       oleanderpick check -settings FILE")
+	}
 	if err := set.Parse(arguments); err != nil {
 		return exitOK
 	}
+	if *settings != "" {
+		return c.checkSettings(*settings)
+	}
 	if set.NArg() == 0 {
 		fmt.Fprintln(c.errors, "check: value \"\": allowed: one or more files or folders")
 
--- a/internal/commands/relay.go
+++ b/internal/commands/relay.go
@@ -70,3 +70,19 @@
 
 	return configurer.ParseRelay(arguments, getenv, c.output)
 }
+
+// checkSettings says whether a settings file of relay is valid.
+func (c *Commands) checkSettings(path string) int {
+	getenv, err := flagger.File(path, func(string) string { return "" })
+	if err == nil {
+		_, err = configurer.ParseRelay(nil, getenv, c.output)
+	}
+	if err != nil {
+		fmt.Fprintln(c.errors, err)
+
+		return exitFailed
+	}
+	fmt.Fprintf(c.output, "settings file %q: valid\n", path)
+
+	return exitOK
+}
--- a/internal/configurer/documentation_test.go
+++ b/internal/configurer/documentation_test.go
@@ -17,16 +17,24 @@
 
 func TestDocumentationHasEverySetting(t *testing.T) {
 	page := readPage(t)
-	rows := 0
-	configurer.Flags(&configurer.Settings{}).VisitAll(func(f *flag.Flag) {
-		rows++
-		row := fmt.Sprintf("| `-%s` | `%s` | ", f.Name, flagger.Variable(f.Name))
-		assert.Assert(t, strings.Contains(page, row), "no row %s", row)
-		if f.DefValue != "" {
-			assert.Assert(t, strings.Contains(page, row+"`"+f.DefValue+"` |"), "wrong default in row %s", row)
-		}
-	})
-	assert.Equal(t, strings.Count(page, "| `-"), rows, "rows of settings that do not exist")
+	for command, set := range map[string]*flag.FlagSet{
+		"serve": configurer.Flags(&configurer.Settings{}),
+		"relay": configurer.RelayFlags(&configurer.Relay{}),
+	} {
+		_, section, found := strings.Cut(page, "## Settings of `oleanderpick "+command+"`\n")
+		assert.Assert(t, found, "no section of %s", command)
+		section, _, _ = strings.Cut(section, "\n## ")
+		rows := 0
+		set.VisitAll(func(f *flag.Flag) {
+			rows++
+			row := fmt.Sprintf("| `-%s` | `%s` | ", f.Name, flagger.Variable(f.Name))
+			assert.Assert(t, strings.Contains(section, row), "%s: no row %s", command, row)
+			if f.DefValue != "" {
+				assert.Assert(t, strings.Contains(section, row+"`"+f.DefValue+"` |"), "%s: wrong default in row %s", command, row)
+			}
+		})
+		assert.Equal(t, strings.Count(section, "| `-"), rows, "%s: rows of settings that do not exist", command)
+	}
 }
 
 func TestDocumentationHasEveryField(t *testing.T) {
