relayer, connector: Leave mute endpoints alone, keep connections within the endpoints' limits

Cause: a try that nobody waited for any more never counted against its endpoint, so that one that answers nobody went on getting requests; idle connections were kept by a fixed number, more than an endpoint accepts from a large fleet; an answer to HEAD lost its length.

Change: silence on all requests for the whole try, a second at least, counts as a failure; idle connections take this instance's part of half the limit.

The tests fail before: 10 of 10 requests at the mute endpoint.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -5,7 +5,7 @@
 // have left. (http.Transport resends some requests by itself.)
 //
 // State is bounded by the number of requests in flight and, for idle
-// connections, by Settings.Idle for each endpoint.
+// connections, by the number that their user lets them be kept at an endpoint.
 package connector
 
 import (
@@ -47,8 +47,6 @@
 	Unacknowledged time.Duration
 	// KeepAlive is the silence after which an open connection is probed.
 	KeepAlive time.Duration
-	// Idle is the most idle connections kept for one endpoint.
-	Idle int
 	// IdleTimeout is how long an idle connection is used again where the
 	// endpoint does not say.
 	IdleTimeout time.Duration
@@ -61,7 +59,6 @@
 		Dial:           500 * time.Millisecond,
 		Unacknowledged: 1500 * time.Millisecond,
 		KeepAlive:      2 * time.Second,
-		Idle:           48,
 		IdleTimeout:    4 * time.Second,
 	}
 }
@@ -190,8 +187,9 @@
 }
 
 // Release keeps the connection for the next request, once the answer was read
-// to its end. It heeds what the answer says of the connection.
-func (c *Connector) Release(conn *Connection, response *http.Response) {
+// to its end, unless there are most idle ones at the endpoint already. It heeds
+// what the answer says of the connection.
+func (c *Connector) Release(conn *Connection, response *http.Response, most int) {
 	lifetime, keep := keepAlive(response, c.settings.IdleTimeout)
 	if !keep || conn.client.Err() != nil {
 		conn.Close()
@@ -203,7 +201,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.idle[conn.address]
-	if len(kept) >= c.settings.Idle {
+	if len(kept) >= most {
 		conn.Close()
 
 		return
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -49,7 +49,7 @@
 	assert.NilError(t, err)
 	_, err = io.Copy(io.Discard, response.Body)
 	assert.NilError(t, err)
-	links.Release(conn, response)
+	links.Release(conn, response, 8)
 
 	return conn
 }
@@ -121,3 +121,30 @@
 		assert.ErrorIs(t, err, piper.ErrRefused)
 	})
 }
+
+func TestNoMoreIdleConnectionsThanAllowed(t *testing.T) {
+	play(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, links *connector.Connector) {
+		conns, responses := []*connector.Connection{}, []*http.Response{}
+		for range 3 {
+			conn, err := links.Open(t.Context(), "e0:80")
+			assert.NilError(t, err)
+			response, err := conn.Send(get(t.Context(), t), mayLeave)
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			assert.NilError(t, err)
+			conns, responses = append(conns, conn), append(responses, response)
+		}
+		for i := range conns {
+			links.Release(conns[i], responses[i], 2)
+		}
+		kept := 0
+		for range 3 {
+			conn, err := links.Open(t.Context(), "e0:80")
+			assert.NilError(t, err)
+			if conn.Reused() {
+				kept++
+			}
+		}
+		assert.Equal(t, kept, 2)
+	})
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -55,6 +55,7 @@
 	done   chan struct{}
 
 	current    atomic.Pointer[matcher.Matcher]
+	instances  atomic.Int64
 	freshUntil atomic.Int64 // boot time
 
 	// The rest belongs to the control goroutine.
--- a/internal/dispatcher/knowledge.go
+++ b/internal/dispatcher/knowledge.go
@@ -128,12 +128,19 @@
 // Shared tells how many instances there are and how many live ones come before
 // this one.
 func (d *Dispatcher) Shared(instances, rank int) {
+	d.instances.Store(int64(instances))
 	d.do(func() {
 		d.retries.Shared(instances)
 		d.rank = rank
 	})
 }
 
+// Part returns this instance's part of a limit that all instances share; at
+// least 1.
+func (d *Dispatcher) Part(limit int) int {
+	return max(1, limit/max(1, int(d.instances.Load())))
+}
+
 // Rank returns how many live instances come before this one.
 func (d *Dispatcher) Rank() (rank int) {
 	d.do(func() { rank = d.rank })
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -48,7 +48,7 @@
 
 		return
 	}
-	j.relayer.endpoints.Release(t.conn, t.response)
+	j.release(t)
 	t.result = placer.Finished
 	if !j.final(t, buffer.Bytes()) {
 		t.result = placer.Failed
@@ -105,7 +105,7 @@
 		t.conn.Close()
 		j.abort(errors.Wrap(err, "large answer broke off"))
 	}
-	j.relayer.endpoints.Release(t.conn, t.response)
+	j.release(t)
 	j.served(t)
 }
 
@@ -114,8 +114,10 @@
 	header := j.w.Header()
 	maps.Copy(header, response.Header)
 	StripConnection(header)
-	header.Del("Content-Length")
-	if length >= 0 {
+	if j.incoming.Method != http.MethodHead {
+		header.Del("Content-Length")
+	}
+	if length > 0 || (length == 0 && j.incoming.Method != http.MethodHead) {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	if response.Header.Get("Content-Type") == "" {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -23,6 +23,7 @@
 type trial struct {
 	placement dispatcher.Placement
 	conn      *connector.Connection
+	sent      time.Time
 	response  *http.Response
 	// done says that the caller has the final answer.
 	done bool
@@ -42,6 +43,10 @@
 	body   []byte
 }
 
+// unheardFor is the silence after which an endpoint counts as failed; nearly all
+// answers of a sound one begin within it.
+const unheardFor = time.Second
+
 // errStale is a send that was stopped since keys may have been taken away.
 var errStale = errors.New("configuration not confirmed")
 
@@ -164,6 +169,7 @@
 		return
 	}
 	t.conn = conn
+	t.sent = time.Now()
 	request := j.request(ctx, t.placement)
 	t.response, err = conn.Send(request, j.mayLeave) //nolint:bodyclose // Read to its end or closed with the connection.
 	if err != nil {
@@ -192,7 +198,9 @@
 	switch {
 	case stalled:
 		t.cause = errStalled
-	case ctx.Err() != nil || errors.Is(cause, errStale):
+	case errors.Is(cause, errStale):
+		t.result = placer.Canceled
+	case ctx.Err() != nil && !j.unheard(t):
 		t.result = placer.Canceled
 	}
 	if t.ran && t.result == placer.Failed && !stalled {
@@ -203,6 +211,13 @@
 	}
 }
 
+// unheard reports whether the endpoint gave no sign of life, on any request, for
+// so long that it counts as failed although nobody waits any more.
+func (j *job) unheard(t *trial) bool {
+	waited := time.Since(t.sent)
+	return t.ran && t.response == nil && waited >= unheardFor && j.relayer.control.Silence(t.placement) >= waited
+}
+
 // fingerprint names what the request asks for, by whom.
 func (j *job) fingerprint() uint64 {
 	sum := fnv.New64a()
@@ -264,6 +279,20 @@
 	}
 }
 
+// defaultConnections is what an endpoint accepts where the configuration does
+// not say.
+const defaultConnections = 100
+
+// release gives the connection back. Idle ones take up to this instance's part
+// of half the connections that the endpoint accepts from all.
+func (j *job) release(t *trial) {
+	connections := j.service.Connections
+	if connections <= 0 {
+		connections = defaultConnections
+	}
+	j.relayer.endpoints.Release(t.conn, t.response, j.relayer.control.Part(connections/2))
+}
+
 // mostDiscarded is the bytes of a refusal that are read so that the connection
 // can be used again.
 const mostDiscarded = 16 << 10
@@ -276,5 +305,5 @@
 
 		return
 	}
-	j.relayer.endpoints.Release(t.conn, t.response)
+	j.release(t)
 }
--- a/internal/relayer/attempt_test.go
+++ b/internal/relayer/attempt_test.go
@@ -159,3 +159,31 @@
 		})
 	}
 }
+
+func TestHeadKeepsTheLengthOfWhatItDescribes(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		w.endpoints(func(answer http.ResponseWriter, _ *http.Request) { answer.Header().Set("Content-Length", "1234") })
+		response, body, err := w.send(w.request(http.MethodHead, "/often/x", ""))
+		assert.NilError(t, err)
+		assert.Equal(t, response.ContentLength, int64(1234))
+		assert.Equal(t, body, "")
+	})
+}
+
+// An endpoint that answers nobody is left alone, though it takes connections and
+// each request that hangs there must not be tried elsewhere.
+func TestMuteEndpointIsLeftAlone(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		w.endpoints(func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }, ok)
+		failed := 0
+		for range 10 {
+			w.confirm()
+			response, _, err := w.send(w.request(http.MethodPost, "/once/x", ""))
+			assert.NilError(t, err)
+			if response.StatusCode != http.StatusOK {
+				failed++
+			}
+		}
+		assert.Assert(t, failed <= 4, "%d of 10 at the mute endpoint", failed)
+	})
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -109,6 +109,6 @@
 	}
 	t.done = true
 	t.result = placer.Finished
-	j.relayer.endpoints.Release(t.conn, t.response)
+	j.release(t)
 	j.served(t)
 }
