--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -124,7 +124,7 @@
 
 func TestNoMoreIdleConnectionsThanAllowed(t *testing.T) {
 	play(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, links *connector.Connector) {
-		conns, responses := []*connector.Connection{}, []*http.Response{}
+		conns, responses := make([]*connector.Connection, 0, 3), make([]*http.Response, 0, 3)
 		for range 3 {
 			conn, err := links.Open(t.Context(), "e0:80")
 			assert.NilError(t, err)
