relayer: Let requests wait for an instance that starts

Cause: after all instances ended, the first requests at each were refused for the 50 ms in which it reads configuration and registry, and clients come back once.

Change: a request waits up to 250 ms for the start. Long prompts are put off at 1.0 targets.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -53,6 +53,8 @@
 	logger hclog.Logger
 	events chan func()
 	done   chan struct{}
+	// started is closed when configuration and endpoints are known.
+	started chan struct{}
 
 	current    atomic.Pointer[matcher.Matcher]
 	instances  atomic.Int64
@@ -82,6 +84,7 @@
 		logger:   logger,
 		events:   make(chan func(), backlog),
 		done:     make(chan struct{}),
+		started:  make(chan struct{}),
 		lease:    freshener.New(settings.KeyLease),
 		lifetime: settings.KeyLease,
 		registry: registrar.New(registrar.Settings{Return: settings.Return, Outage: outage}),
@@ -102,6 +105,23 @@
 	return d.done
 }
 
+// Started is closed when a configuration and the endpoints are known.
+func (d *Dispatcher) Started() <-chan struct{} {
+	return d.started
+}
+
+// begin closes started once there is enough to serve by.
+func (d *Dispatcher) begin() {
+	if d.current.Load() == nil || !d.registry.Listed() {
+		return
+	}
+	select {
+	case <-d.started:
+	default:
+		close(d.started)
+	}
+}
+
 // Serve runs the control goroutine until ctx ends.
 func (d *Dispatcher) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
--- a/internal/dispatcher/knowledge.go
+++ b/internal/dispatcher/knowledge.go
@@ -40,6 +40,7 @@
 			d.logger.Info("Configuration is in force.", "number", configuration.Number(), "age ms", (d.clock.Boot() - sent).Milliseconds())
 		}
 		d.confirm(sent)
+		d.begin()
 	})
 }
 
@@ -70,6 +71,7 @@
 		d.registry.List(now, endpoints)
 		d.logger.Info("Registry of endpoints changed.", "endpoints", len(endpoints), "age ms", (d.clock.Boot() - sent).Milliseconds())
 		d.place()
+		d.begin()
 	})
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -29,6 +29,9 @@
 const (
 	// defaultPatience bounds requests that nothing else bounds.
 	defaultPatience = 60 * time.Second
+	// startPatience is how long a request waits for an instance that starts;
+	// reading the configuration takes some 50 ms where the platform answers.
+	startPatience = 250 * time.Millisecond
 	// defaultBody is the largest body, in bytes, where the configuration
 	// states none.
 	defaultBody = 4 << 20
@@ -97,7 +100,6 @@
 		w:        w,
 		incoming: incoming,
 		envelope: r.codec.Envelope(incoming.Header),
-		matcher:  r.control.Matcher(),
 		received: time.Now(),
 	}
 	if r.leaving.Load() {
@@ -115,7 +117,7 @@
 
 // admit finds what the request may do, and reads its body.
 func (j *job) admit() *answerer.Error {
-	if j.matcher == nil {
+	if j.awaitStart(); j.matcher == nil {
 		return answerer.New(answerer.KindNoConfiguration, "No configuration is known yet.").WithRetryAfter(startWait)
 	}
 	path, _, _ := strings.Cut(j.incoming.RequestURI, "?")
@@ -139,6 +141,24 @@
 	return nil
 }
 
+// awaitStart gives an instance that has just started the time to read its
+// configuration, which is short against a caller's way back.
+func (j *job) awaitStart() {
+	control := j.relayer.control
+	select {
+	case <-control.Started():
+	default:
+		timer := time.NewTimer(startPatience)
+		defer timer.Stop()
+		select {
+		case <-control.Started():
+		case <-j.incoming.Context().Done():
+		case <-timer.C:
+		}
+	}
+	j.matcher = control.Matcher()
+}
+
 // unlessStale refuses for good only when the configuration is known to be the
 // newest: a newer one may allow what this one does not.
 func (j *job) unlessStale(err *answerer.Error) *answerer.Error {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -134,3 +134,17 @@
 		assert.Assert(t, response.Close)
 	})
 }
+
+// A request that comes while an instance starts is not sent away for the moment
+// in which the configuration is read.
+func TestRequestWaitsForTheStart(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			w.endpoints(ok)
+		}()
+		response, _, err := w.send(w.request(http.MethodGet, "/often/x", ""))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	})
+}
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -46,7 +46,7 @@
 	leadFor = time.Second
 	// postponeAt is the predicted time to the first token, in targets, from
 	// which on a long prompt is put off.
-	postponeAt = 1.2
+	postponeAt = 1.0
 	// surge is about how long a backlog lasts beyond the time to read it; who
 	// comes back sooner mostly finds it there still.
 	surge = time.Second
