--- a/internal/commands/relay.go
+++ b/internal/commands/relay.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"log"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,6 +35,9 @@
 		JSONFormat: true,
 		Output:     lines,
 	})
+	// net/http logs odd answers by the standard logger.
+	log.SetFlags(0)
+	log.SetOutput(logger.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}))
 	stop, _ := signals()
 	runner := relayrunner.New(settings, relayrunner.Platform{
 		Dialect:   platform.Objects{},
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -83,16 +83,23 @@
 	peers    *http.Server
 	metrics  *http.Server
 	leaving  atomic.Bool
+	serving  chan struct{}
+	opened   addresses
 	done     chan struct{}
 }
 
+// addresses are what the instance listens on.
+type addresses struct {
+	callers, status, peers string
+}
+
 // New puts the parts together. Run starts them.
 func New(settings configurer.Relay, platform Platform, logger hclog.Logger) *Runner {
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare * (1 << 20)))
 	}
 	counters := meter.New()
-	r := &Runner{settings: settings, logger: logger.Named("runner"), done: make(chan struct{})}
+	r := &Runner{settings: settings, logger: logger.Named("runner"), serving: make(chan struct{}), done: make(chan struct{})}
 	r.control = dispatcher.New(dispatcher.Settings{
 		Name:       settings.Name,
 		DataCentre: settings.DataCentre,
@@ -226,13 +233,13 @@
 
 func (r *Runner) listen() (map[*http.Server]net.Listener, error) {
 	listeners := map[*http.Server]net.Listener{}
-	servers := map[string]*http.Server{
-		r.settings.Listen: r.callers, r.settings.StatusListen: r.status, r.settings.PeerListen: r.peers,
+	servers := map[*http.Server]string{
+		r.callers: r.settings.Listen, r.status: r.settings.StatusListen, r.peers: r.settings.PeerListen,
 	}
 	if r.settings.MetricsListen != "" {
-		servers[r.settings.MetricsListen] = r.metrics
+		servers[r.metrics] = r.settings.MetricsListen
 	}
-	for address, server := range servers {
+	for server, address := range servers {
 		var config net.ListenConfig
 		listener, err := config.Listen(context.Background(), "tcp", address)
 		if err != nil {
@@ -240,10 +247,28 @@
 		}
 		listeners[server] = listener
 	}
+	r.opened = addresses{
+		callers: listeners[r.callers].Addr().String(),
+		status:  listeners[r.status].Addr().String(),
+		peers:   listeners[r.peers].Addr().String(),
+	}
+	close(r.serving)
 
 	return listeners, nil
 }
 
+// Addresses waits until the instance listens and returns where.
+func (r *Runner) Addresses() (callers, status, peers string) {
+	<-r.serving
+
+	return r.opened.callers, r.opened.status, r.opened.peers
+}
+
+// Done is closed when the instance has stopped.
+func (r *Runner) Done() <-chan struct{} {
+	return r.done
+}
+
 // stop ends what runs.
 func (r *Runner) stop() {
 	begun := time.Now()
