placer, gossiper: Keep the peers' loads as sums, tell more others in a large fleet

Cause: each pick added up what every peer has at every endpoint, and in a large fleet words came more seldom than they count.

Change: sums at the endpoints, kept by words; a word counts for three usual gaps; an instance tells one in six, four at most, in each round. A property test holds the sums against a naive count.

--- a/internal/gossiper/choose.go
+++ b/internal/gossiper/choose.go
@@ -33,7 +33,8 @@
 		return strings.Compare(a.address, b.address)
 	})
 	if g.rounds > greetRounds {
-		due = due[:min(len(due), g.settings.Fanout)]
+		fanout := min(g.settings.FanoutMost, max(g.settings.Fanout, len(g.members)/fanoutShare))
+		due = due[:min(len(due), fanout)]
 	}
 	for _, m := range due {
 		m.busy, m.tried = true, now
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -30,8 +30,9 @@
 	Seeds []string
 	// Interval is the time between two rounds.
 	Interval time.Duration
-	// Fanout is the number of others told in a round.
-	Fanout int
+	// Fanout and FanoutMost are the numbers of others told in a round, in a
+	// small fleet and in the largest.
+	Fanout, FanoutMost int
 	// Timeout is the longest time that one exchange may take.
 	Timeout time.Duration
 }
@@ -39,7 +40,7 @@
 // DefaultSettings returns the settings of an instance in a small fleet, whose
 // load reports must be younger than the usual first token.
 func DefaultSettings() Settings {
-	return Settings{Interval: 100 * time.Millisecond, Fanout: 2, Timeout: 300 * time.Millisecond}
+	return Settings{Interval: 100 * time.Millisecond, Fanout: 2, FanoutMost: 4, Timeout: 300 * time.Millisecond}
 }
 
 const (
@@ -50,6 +51,8 @@
 	forgetAfter = time.Minute
 	// liveFor is the silence up to which an instance counts.
 	liveFor = 4 * time.Second
+	// fanoutShare is the members for each one told in a round.
+	fanoutShare = 6
 	// rankFor is the silence up to which an instance keeps its rank.
 	rankFor = time.Second
 	// retrySilent is how often an address that does not answer is tried.
--- a/internal/relayer/wire_test.go
+++ b/internal/relayer/wire_test.go
@@ -137,7 +137,7 @@
 		t.Run(name, func(t *testing.T) {
 			play(t, func(t *testing.T, w *world) {
 				var paths []string
-				w.endpoints(func(answer http.ResponseWriter, request *http.Request) {
+				w.endpoints(func(_ http.ResponseWriter, request *http.Request) {
 					paths = append(paths, request.RequestURI)
 					body, _ := io.ReadAll(request.Body)
 					assert.Equal(t, string(body), hidden)
--- a/pkg/placer/ask.go
+++ b/pkg/placer/ask.go
@@ -96,6 +96,15 @@
 	Pending int
 }
 
+// plus adds a multiple of another load.
+func (l Load) plus(other Load, factor int) Load {
+	return Load{
+		Running: l.Running + factor*other.Running,
+		Short:   l.Short + factor*other.Short,
+		Pending: l.Pending + factor*other.Pending,
+	}
+}
+
 // Demand is the work that arrives for a service, in engines kept busy.
 type Demand struct {
 	Short, Long float64
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -13,7 +13,7 @@
 
 	rank     uint64 // its place in the order of its service's group
 	own      Load
-	peers    map[string]peerLoad
+	others   Load // of the other instances
 	cache    *cache
 	read     []reading // lately, for this instance
 	failures int
@@ -31,16 +31,10 @@
 	parts []Part
 }
 
-type peerLoad struct {
-	Load
-	at time.Time
-}
-
 func newEndpoint(registered registrar.Endpoint) *endpoint {
 	return &endpoint{
 		Endpoint: registered,
 		rank:     hash(registered.ID, 0),
-		peers:    map[string]peerLoad{},
 		cache:    newCache(partsMost),
 	}
 }
@@ -56,20 +50,8 @@
 }
 
 // load is what runs at the endpoint, as far as is known.
-func (e *endpoint) load(now time.Time) Load {
-	sum := e.own
-	for name, peer := range e.peers {
-		if now.Sub(peer.at) > peerMemory {
-			delete(e.peers, name)
-
-			continue
-		}
-		sum.Running += peer.Running
-		sum.Short += peer.Short
-		sum.Pending += peer.Pending
-	}
-
-	return sum
+func (e *endpoint) load() Load {
+	return e.own.plus(e.others, 1)
 }
 
 // settle takes in how a try ended.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -15,6 +15,7 @@
 	endpoints map[string]*endpoint
 	services  map[string]*group
 	requests  map[uint64]*request
+	peers     peers
 }
 
 // request is one of the own requests in flight.
@@ -36,6 +37,7 @@
 		endpoints: map[string]*endpoint{},
 		services:  map[string]*group{},
 		requests:  map[uint64]*request{},
+		peers:     peers{},
 	}
 }
 
@@ -53,10 +55,12 @@
 			e = newEndpoint(r)
 		}
 		e.Endpoint = r
+		e.others = Load{}
 		p.endpoints[r.ID] = e
 		g := p.group(r.Service)
 		g.endpoints = append(g.endpoints, e)
 	}
+	p.peers.count(p.endpoints)
 	for _, g := range p.services {
 		slices.SortFunc(g.endpoints, func(a, b *endpoint) int {
 			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.ID, b.ID))
@@ -81,6 +85,7 @@
 	if g == nil {
 		return Choice{}, false
 	}
+	p.peers.expire(now, p.endpoints)
 	s := search{group: g, ask: &ask, now: now, dataCentre: p.settings.DataCentre}
 	s.collect()
 	if len(s.candidates) == 0 {
@@ -118,7 +123,7 @@
 	g := p.group(ask.Service)
 	p.requests[id] = &request{
 		endpoint: e, group: g, ask: ask, fresh: choice.Fresh, long: choice.Long,
-		ahead: e.load(now).Pending, started: now,
+		ahead: e.load().Pending, started: now,
 	}
 	e.own.Running++
 	e.own.Pending += choice.Fresh
@@ -228,15 +233,7 @@
 	for name, demand := range demands {
 		p.group(name).peers[peer] = peerDemand{Demand: demand, at: now}
 	}
-	for id, e := range p.endpoints {
-		load, ok := loads[id]
-		if !ok {
-			delete(e.peers, peer)
-
-			continue
-		}
-		e.peers[peer] = peerLoad{Load: load, at: now}
-	}
+	p.peers.hear(now, peer, loads, p.endpoints)
 }
 
 // hash gives a name a rank that is the same on every instance.
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
@@ -273,3 +274,47 @@
 	p.End(start, 1, placer.Failed) // Must not count against the new life.
 	assert.Equal(t, p.Loads()[choice.ID], placer.Load{})
 }
+
+// The sums of what peers run equal what their last words say, whatever words,
+// silences and changes of the endpoints come in between.
+func TestSumsOfPeersAsNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPlacer("z", plain(3))
+		now := start
+		type said struct {
+			at    time.Time
+			loads map[string]placer.Load
+		}
+		last := map[string]said{}
+		for range rapid.IntRange(0, 30).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "configure") {
+				p.Configure(plain(rapid.IntRange(2, 3).Draw(t, "endpoints")))
+			}
+			peer := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "peer")
+			loads := map[string]placer.Load{}
+			for _, e := range plain(3) {
+				if rapid.Bool().Draw(t, "uses") {
+					loads[e.ID] = placer.Load{Running: rapid.IntRange(1, 50).Draw(t, "running")}
+				}
+			}
+			p.Heard(now, peer, loads, nil)
+			last[peer] = said{now, loads}
+		}
+		p.Configure(plain(3))
+		_, _ = p.Pick(now.Add(200*time.Millisecond), placer.Ask{Service: "api"})
+		now = now.Add(200 * time.Millisecond)
+		want := map[string]int{}
+		for _, word := range last {
+			if now.Sub(word.at) > time.Second {
+				return // Whether such a word counts depends on its instance's pace.
+			}
+			for id, load := range word.loads {
+				want[id] += load.Running
+			}
+		}
+		for _, e := range plain(3) {
+			assert.Equal(t, p.Others(e.ID).Running, want[e.ID])
+		}
+	})
+}
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -79,7 +79,7 @@
 // plain takes the endpoint with the fewest requests for its slots.
 func (s *search) plain() *endpoint {
 	return least(s.candidates, func(e *endpoint) float64 {
-		running := float64(e.load(s.now).Running) + 1
+		running := float64(e.load().Running) + 1
 		if e.DataCentre != s.dataCentre {
 			running += remotePenalty
 		}
@@ -146,7 +146,7 @@
 // spare returns the engines of the side with a free slot, or else any that have
 // one.
 func (s *search) spare(side []*endpoint) []*endpoint {
-	full := func(e *endpoint) bool { return e.Slots > 0 && e.load(s.now).Running >= e.Slots }
+	full := func(e *endpoint) bool { return e.Slots > 0 && e.load().Running >= e.Slots }
 	if free := slices.DeleteFunc(slices.Clone(side), full); len(free) > 0 {
 		return free
 	}
@@ -160,7 +160,7 @@
 // quietest takes the engine that runs least, for a short prompt.
 func (s *search) quietest(side []*endpoint) *endpoint {
 	return least(side, func(e *endpoint) float64 {
-		load := e.load(s.now)
+		load := e.load()
 		cost := float64(load.Running) + float64(s.group.reading(load.Pending)/time.Millisecond)
 		if e.DataCentre != s.dataCentre {
 			cost += remotePenalty
@@ -191,7 +191,7 @@
 // does to the streams that run there.
 func (s *search) cost(e *endpoint) time.Duration {
 	fresh := s.fresh(e)
-	load := e.load(s.now)
+	load := e.load()
 	cost := s.expected(e, fresh)
 	if load.Pending+fresh > pauseTokens {
 		cost += time.Duration(load.Short) * harm
@@ -207,7 +207,7 @@
 
 // expected is the predicted time to the first token.
 func (s *search) expected(e *endpoint, fresh int) time.Duration {
-	load := e.load(s.now)
+	load := e.load()
 
 	return s.group.reading(load.Pending+fresh) + time.Duration(load.Running)*stepTime
 }
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -85,8 +85,6 @@
 	// failureExcess is how far an endpoint's share of failures may lie over
 	// that of its peers.
 	failureExcess = 0.25
-	// peerMemory is how long the word of another instance counts.
-	peerMemory = time.Second
 	// partsMost is the cached parts remembered for one engine.
 	partsMost = 1024
 	// moveGain is by how much sooner another engine must give the first token
