relayer: Follow a begun stream by events only

Cause: a stream that was to go on at another endpoint passed on whatever came there, a whole answer or a second head (found by reading; the test fails before with a superfluous head and a broken answer that looks complete).

Change: once a stream has begun, only events follow; anything else counts as a failed try. The placer's weights follow the engines' own slots and rate of reading instead of fixed counts.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -65,19 +65,17 @@
 }
 
 // final reports whether the caller gets this answer. An endpoint's failure may
-// be worth another try, and a status that promises that the request has not run
-// is not passed on from an endpoint that does not say so itself.
+// be worth another try, a status that promises that the request has not run is
+// not passed on from an endpoint that does not say so itself, and a stream that
+// has begun goes on with events only.
 func (j *job) final(t *trial, body []byte) bool {
 	status := t.response.StatusCode
-	if promises(status) {
+	if j.begun || promises(status) {
 		return false
 	}
-	if status < http.StatusInternalServerError {
+	if status < http.StatusInternalServerError || !j.route.Repeatable() {
 		return true
 	}
-	if j.begun || !j.route.Repeatable() {
-		return !j.begun
-	}
 	j.failure = &failure{status: status, header: t.response.Header, body: body}
 
 	return false
--- a/internal/relayer/stream_test.go
+++ b/internal/relayer/stream_test.go
@@ -120,3 +120,21 @@
 		time.Sleep(time.Hour)
 	})
 }
+
+// A stream that has begun is never followed by an answer of another kind.
+func TestBegunStreamGoesOnWithEventsOnly(t *testing.T) {
+	for name, second := range map[string]http.HandlerFunc{
+		"a whole answer": ok,
+		"a failure":      status(http.StatusInternalServerError, false),
+		"a refusal":      status(http.StatusServiceUnavailable, true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, w *world) {
+				w.endpoints(events(3, torn), second)
+				_, body, err := w.send(w.request(http.MethodPost, "/resume/x", "prompt"))
+				assert.Assert(t, err != nil, "a broken answer must not look complete")
+				assert.Equal(t, body, whole(3))
+			})
+		})
+	}
+}
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -44,6 +44,15 @@
 	return !e.Draining && !e.wrong
 }
 
+// slots is the size of the batch.
+func (e *endpoint) slots() int {
+	if e.Slots <= 0 {
+		return defaultSlots
+	}
+
+	return e.Slots
+}
+
 // willing reports whether the endpoint is expected to take a request.
 func (e *endpoint) willing(now time.Time) bool {
 	return !now.Before(e.refused) && !now.Before(e.until)
--- a/pkg/placer/group.go
+++ b/pkg/placer/group.go
@@ -61,12 +61,11 @@
 // own is the demand of this instance.
 func (g *group) own(now time.Time) Demand {
 	demand := g.demand.engines(now, g.rate)
-	pending, streams := 0, 0
+	pending := 0
 	for _, e := range g.endpoints {
-		streams += e.own.Short
+		demand.Short += float64(e.own.Short) / (batchShare * float64(e.slots()))
 		pending += e.own.Pending
 	}
-	demand.Short += float64(streams) / batchTarget
 	demand.Long += g.reading(pending).Seconds() / backlogTarget.Seconds()
 	demand.Border, demand.Engines = g.current, g.engines
 
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -146,7 +146,7 @@
 // spare returns the engines of the side with a free slot, or else any that have
 // one.
 func (s *search) spare(side []*endpoint) []*endpoint {
-	full := func(e *endpoint) bool { return e.Slots > 0 && e.load().Running >= e.Slots }
+	full := func(e *endpoint) bool { return e.load().Running >= e.slots() }
 	if free := slices.DeleteFunc(slices.Clone(side), full); len(free) > 0 {
 		return free
 	}
@@ -193,7 +193,7 @@
 	fresh := s.fresh(e)
 	load := e.load()
 	cost := s.expected(e, fresh)
-	if load.Pending+fresh > pauseTokens {
+	if s.group.reading(load.Pending+fresh) > pauseTime {
 		cost += time.Duration(load.Short) * harm
 	}
 
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -7,9 +7,9 @@
 	// Name and DataCentre are this instance's.
 	Name       string
 	DataCentre string
-	// LongPrompt is the number of uncached prompt tokens from which on a
-	// prompt is kept away from streams. An engine that reads this many holds
-	// up its streams for several chunks.
+	// LongPrompt is the number of prompt tokens from which on a prompt is kept
+	// away from streams. An engine that reads this many holds up its streams
+	// for several chunks.
 	LongPrompt int
 	// PrefillRate is the prompt tokens that an engine reads in a
 	// millisecond, until it was observed.
@@ -22,9 +22,11 @@
 	// defaultPrefillRate is that of the slowest engine planned for, in tokens
 	// a millisecond.
 	defaultPrefillRate = 35
-	// batchTarget is the streams that one engine of the group for short
-	// prompts runs at the planned pace: a little less than the usual batch.
-	batchTarget = 60
+	// batchShare is the share of an engine's slots that streams of short
+	// prompts should take.
+	batchShare = 0.94
+	// defaultSlots is an engine's usual batch, where it does not say.
+	defaultSlots = 64
 	// busyTarget is the share of its time that an engine may spend on
 	// reading long prompts before they wait for each other.
 	busyTarget = 0.6
@@ -61,9 +63,9 @@
 	toldFor = 1500 * time.Millisecond
 	// readsMost bounds the reads of an engine that are told at once.
 	readsMost = 24
-	// pauseTokens is the unread prompt tokens beyond which an engine makes
-	// its streams pause for longer than they usually may, in tokens.
-	pauseTokens = 7000
+	// pauseTime is the time of reading beyond which streams pause for longer
+	// than they usually may: with the steps between, about 200 ms.
+	pauseTime = 140 * time.Millisecond
 	// harm is the time by which a long prompt is put off for each stream that
 	// it would hold up.
 	harm = 25 * time.Millisecond
