--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -65,12 +65,11 @@
 }
 
 // final reports whether the caller gets this answer. An endpoint's failure may
-// be worth another try, a status that promises that the request has not run is
-// not passed on from an endpoint that does not say so itself, and a stream that
-// has begun goes on with events only.
+// be worth another try, and a status that promises that the request has not run
+// is not passed on from an endpoint that does not say so itself.
 func (j *job) final(t *trial, body []byte) bool {
 	status := t.response.StatusCode
-	if j.begun || promises(status) {
+	if promises(status) {
 		return false
 	}
 	if status < http.StatusInternalServerError || !j.route.Repeatable() {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -273,6 +273,9 @@
 	case t.response.StatusCode == http.StatusOK && eventStream(t.response.Header):
 		t.ran = true
 		j.stream(ctx, t)
+	case j.begun:
+		t.ran = true
+		j.broken(ctx, t, errors.Errorf("status %d instead of further events", t.response.StatusCode))
 	default:
 		t.ran = true
 		j.whole(ctx, t)
