relayer, gossiper: Bound the time of a body, take whole URLs, tell loads of large fleets more seldom

Change: bodies have until the route's timeout, then 408; the path and query of a whole URL are the target; with more than 12 members loads go into each second, third word and so on, while what is known of the platform goes into each.

--- a/internal/dispatcher/word.go
+++ b/internal/dispatcher/word.go
@@ -9,6 +9,8 @@
 
 // Word is what instances tell each other.
 type Word struct {
+	// Brief words leave loads, reads and demands out.
+	Brief bool
 	// Loads are the teller's requests by endpoint.
 	Loads map[string]placer.Load
 	// Reads are the shared parts of prompts that endpoints read for the teller.
@@ -65,8 +67,10 @@
 // Heard takes in a peer's word.
 func (d *Dispatcher) Heard(peer string, word Word) {
 	d.do(func() {
-		d.placer.Heard(d.clock.Now(), peer, word.Loads, word.Demands)
-		d.placer.HeardReads(word.Reads)
+		if !word.Brief {
+			d.placer.Heard(d.clock.Now(), peer, word.Loads, word.Demands)
+			d.placer.HeardReads(word.Reads)
+		}
 		d.suspect(d.clock.Now(), word.Suspects)
 	})
 }
--- a/internal/gossiper/choose.go
+++ b/internal/gossiper/choose.go
@@ -38,6 +38,8 @@
 	}
 	for _, m := range due {
 		m.busy, m.tried = true, now
+		m.full = m.told%max(1, len(g.members)/fullMembers) == 0
+		m.told++
 	}
 
 	return due
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -53,6 +53,10 @@
 	liveFor = 4 * time.Second
 	// fanoutShare is the members for each one told in a round.
 	fanoutShare = 6
+	// fullMembers is the number of members up to which every word tells loads.
+	// In a larger fleet each instance is a smaller part of an endpoint's load,
+	// and tells it so much more seldom that its bytes stay the same.
+	fullMembers = 12
 	// rankFor is the silence up to which an instance keeps its rank.
 	rankFor = time.Second
 	// retrySilent is how often an address that does not answer is tried.
@@ -89,6 +93,8 @@
 	tried       time.Time // last try of ours
 	added       time.Time
 	busy        bool
+	told        int  // exchanges with it so far
+	full        bool // the exchange under way tells loads
 }
 
 // New returns a gossiper that knows the seeds.
@@ -184,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(ctx, g.settings.Timeout)
 	defer cancel()
 	sent := g.control.Boot()
-	reply, err := gossipwire.NewGossipProtobufClient("http://"+m.address, g.client).Tell(ctx, g.word(0))
+	reply, err := gossipwire.NewGossipProtobufClient("http://"+m.address, g.client).Tell(ctx, g.word(0, m.full))
 	g.mu.Lock()
 	m.busy = false
 	g.mu.Unlock()
@@ -238,5 +244,5 @@
 func (s *service) Tell(_ context.Context, word *gossipwire.Word) (*gossipwire.Word, error) {
 	s.gossiper.hear(word)
 
-	return s.gossiper.word(int(word.GetKnown())), nil
+	return s.gossiper.word(int(word.GetKnown()), !word.GetBrief()), nil
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -180,3 +180,34 @@
 		assert.Assert(t, !control.HeldBack(1))
 	})
 }
+
+// In a larger fleet brief words pass knowledge on, and loads still arrive.
+func TestLargeFleetTellsLoadsNowAndThen(t *testing.T) {
+	fleet(t, 30, func(t *testing.T, _ *piper.Network, instances []instance, boot func() time.Duration) {
+		time.Sleep(6 * time.Second)
+		endpoints := []registrar.Endpoint{{ID: "a", Service: "s", Address: "a:80", Slots: 6}, {ID: "b", Service: "s", Address: "b:80", Slots: 6}}
+		for _, i := range instances {
+			confirm(i, boot(), 1)
+			i.control.Listed(boot(), endpoints)
+		}
+		ask := placer.Ask{Service: "s"}
+		taken, _ := instances[7].control.Place(ask, true)
+		for range 20 { // All on one endpoint of two, whichever it is.
+			other := ask
+			for _, e := range endpoints {
+				if e.ID != taken.ID {
+					other.Avoid = append(other.Avoid, e.ID)
+				}
+			}
+			instances[7].control.Place(other, true)
+		}
+		time.Sleep(5 * time.Second)
+		heard := 0
+		for _, i := range instances {
+			if placed, ok := i.control.Place(ask, true); ok && placed.ID != taken.ID {
+				heard++
+			}
+		}
+		assert.Assert(t, heard >= 25, "%d of 30 know of the load", heard)
+	})
+}
--- a/internal/gossiper/word.go
+++ b/internal/gossiper/word.go
@@ -9,8 +9,9 @@
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 )
 
-// word is what this instance tells one that knows so many others.
-func (g *Gossiper) word(known int) *gossipwire.Word {
+// word is what this instance tells one that knows so many others; full words
+// tell loads.
+func (g *Gossiper) word(known int, full bool) *gossipwire.Word {
 	state := g.control.Tells()
 	addresses := g.addresses()
 	g.mu.Lock()
@@ -22,6 +23,7 @@
 		Incarnation: g.settings.Incarnation,
 		Leaving:     leaving,
 		Known:       uint32(len(addresses)),
+		Brief:       !full,
 
 		Number:         state.Vouch.Number,
 		AgeMs:          milliseconds(state.Vouch.Age),
@@ -31,6 +33,19 @@
 	if known < len(addresses) {
 		word.Members = addresses
 	}
+	if full {
+		addLoads(word, state)
+	}
+	now := time.Now()
+	for _, entry := range state.Suspects {
+		word.Suspects = append(word.Suspects, encodeSuspect(now, entry))
+	}
+
+	return word
+}
+
+// addLoads adds what runs at endpoints, what they read and what arrives.
+func addLoads(word *gossipwire.Word, state dispatcher.Word) {
 	for id := range state.Reads {
 		if _, ok := state.Loads[id]; !ok {
 			state.Loads[id] = placer.Load{}
@@ -48,13 +63,6 @@
 			Border: uint32(max(0, demand.Border)), Engines: uint32(max(0, demand.Engines)),
 		})
 	}
-
-	now := time.Now()
-	for _, entry := range state.Suspects {
-		word.Suspects = append(word.Suspects, encodeSuspect(now, entry))
-	}
-
-	return word
 }
 
 func encodeSuspect(now time.Time, entry quarantiner.Entry) *gossipwire.Suspect {
@@ -88,7 +96,7 @@
 }
 
 func decodeWord(word *gossipwire.Word) dispatcher.Word {
-	decoded := dispatcher.Word{Loads: map[string]placer.Load{}, Demands: map[string]placer.Demand{}, Reads: map[string][]uint64{}}
+	decoded := dispatcher.Word{Brief: word.GetBrief(), Loads: map[string]placer.Load{}, Demands: map[string]placer.Demand{}, Reads: map[string][]uint64{}}
 	for _, load := range word.GetLoads() {
 		decoded.Loads[load.GetEndpoint()] = placer.Load{
 			Running: int(load.GetRunning()), Short: int(load.GetShort()), Pending: int(load.GetPending()),
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -241,7 +241,7 @@
 	}
 	request := &http.Request{
 		Method: j.incoming.Method,
-		URL:    &url.URL{Scheme: "http", Host: j.incoming.Host, Opaque: j.incoming.RequestURI},
+		URL:    &url.URL{Scheme: "http", Host: j.incoming.Host, Opaque: j.target()},
 		Host:   j.incoming.Host,
 		Header: j.relayer.codec.Outgoing(j.incoming.Header, order),
 		Body:   http.NoBody,
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -120,7 +121,7 @@
 	if j.awaitStart(); j.matcher == nil {
 		return answerer.New(answerer.KindNoConfiguration, "No configuration is known yet.").WithRetryAfter(startWait)
 	}
-	path, _, _ := strings.Cut(j.incoming.RequestURI, "?")
+	path, _, _ := strings.Cut(j.target(), "?")
 	route, ok := j.matcher.Route(j.incoming.Host, path)
 	if !ok {
 		return j.unlessStale(answerer.New(answerer.KindNotFound, "No route matches."))
@@ -129,18 +130,28 @@
 	if err := j.identify(); err != nil {
 		return err
 	}
+	j.limit()
 	if err := j.read(); err != nil {
 		return err
 	}
 	if j.relayer.control.Suspects() && j.relayer.control.HeldBack(j.fingerprint()) {
 		return answerer.New(answerer.KindHeldBack, "The request crashed endpoints.").WithRetryAfter(heldWait)
 	}
-	j.limit()
 	j.aim()
 
 	return nil
 }
 
+// target is the path and query as the caller wrote them, also where it wrote
+// the whole URL.
+func (j *job) target() string {
+	if strings.HasPrefix(j.incoming.RequestURI, "/") {
+		return j.incoming.RequestURI
+	}
+
+	return j.incoming.URL.RequestURI()
+}
+
 // awaitStart gives an instance that has just started the time to read its
 // configuration, which is short against a caller's way back.
 func (j *job) awaitStart() {
@@ -200,17 +211,27 @@
 	return nil
 }
 
-// read reads the body whole, so that it can be sent again.
+// read reads the body whole, so that it can be sent again. A caller that does
+// not send it in time is not waited for.
 func (j *job) read() *answerer.Error {
 	limit := j.matcher.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultBody
 	}
+	connection := http.NewResponseController(j.w)
+	if err := connection.SetReadDeadline(j.deadline); err != nil {
+		return answerer.Wrap(answerer.KindInternal, "The connection takes no deadline.", err)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.incoming.Body, limit))
+	if err == nil {
+		err = connection.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return answerer.New(answerer.KindTooLarge, "The body is too large.")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return answerer.Wrap(answerer.KindSlowBody, "The body did not come in time.", err)
 	case err != nil:
 		return answerer.Wrap(answerer.KindMalformed, "The body cannot be read.", err)
 	}
--- a/internal/relayer/wire_test.go
+++ b/internal/relayer/wire_test.go
@@ -156,3 +156,39 @@
 		})
 	}
 }
+
+// A caller that does not finish its body is not waited for beyond the route's
+// timeout, and nothing of its request reaches an endpoint.
+func TestUnfinishedBodyIsNotWaitedFor(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		w.endpoints(ok)
+		conn, err := w.network.Dial(t.Context(), "tcp", "front:80")
+		assert.NilError(t, err)
+		begun := time.Now()
+		_, err = io.WriteString(conn, "POST /once/x HTTP/1.1\r\nHost: front\r\nX-Id: r1\r\nX-Key: key\r\nContent-Length: 500\r\n\r\nsome")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
+		assert.Assert(t, time.Since(begun) < 3500*time.Millisecond)
+		assert.Equal(t, w.arrived(), 0)
+		assert.NilError(t, response.Body.Close())
+		assert.NilError(t, conn.Close())
+	})
+}
+
+func TestWholeURLAsTarget(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		w.endpoints(ok)
+		conn, err := w.network.Dial(t.Context(), "tcp", "front:80")
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "GET http://front/often/x?y=1 HTTP/1.1\r\nHost: front\r\nX-Id: r1\r\nX-Key: key\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "GET front /often/x?y=1 ")
+		assert.NilError(t, conn.Close())
+	})
+}
--- a/pkg/answerer/answer.go
+++ b/pkg/answerer/answer.go
@@ -55,6 +55,7 @@
 	unauthorized   = 401
 	forbidden      = 403
 	notFound       = 404
+	requestTimeout = 408
 	conflict       = 409
 	tooLarge       = 413
 	unprocessable  = 422
@@ -94,6 +95,7 @@
 	KindCanceled:          row("canceled", statusClientClosed, Unknown, 0),
 	KindNoConfiguration:   row("no-configuration", unavailable, NotRun, shortWait),
 	KindHeldBack:          row("held-back", unavailable, NotRun, poisoned),
+	KindSlowBody:          row("slow-body", requestTimeout, NotRun, 0),
 	KindInternal:          row("internal", internalError, Unknown, 0),
 }
 
--- a/pkg/answerer/kind.go
+++ b/pkg/answerer/kind.go
@@ -74,6 +74,8 @@
 	// KindHeldBack is a request that crashed endpoints and is not run for a
 	// while, told as one that may come back.
 	KindHeldBack
+	// KindSlowBody is a request whose body did not come in time.
+	KindSlowBody
 
 	kindCount
 )
