placer: Count what an engine would have to read for short prompts too

Sessions of short prompts stay together as far as that costs nothing else. The announcer retries every 3 s instead of 1 s in an outage, whose calls are priced.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -35,7 +35,7 @@
 
 // Defaults of the settings: the seeds and the words of others do most.
 const (
-	DefaultRetry    = time.Second
+	DefaultRetry    = 3 * time.Second
 	DefaultInterval = 30 * time.Second
 )
 
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -157,11 +157,12 @@
 	return side
 }
 
-// quietest takes the engine that runs least, for a short prompt.
+// quietest takes the engine that runs and has to read least, for a short prompt:
+// a millisecond of reading counts like a running stream.
 func (s *search) quietest(side []*endpoint) *endpoint {
 	return least(side, func(e *endpoint) float64 {
 		load := e.load()
-		cost := float64(load.Running) + float64(s.group.reading(load.Pending)/time.Millisecond)
+		cost := float64(load.Running) + s.group.reading(load.Pending+s.fresh(e)).Seconds()*float64(time.Second/time.Millisecond)
 		if e.DataCentre != s.dataCentre {
 			cost += remotePenalty
 		}
