--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -2,7 +2,7 @@
 // and finds the others there, for when the seeds of the settings are stale.
 //
 // An entry is only an address to ask: whether an instance lives shows by its
-// words. Entries of instances that ended remain; they are replaced when one of
+// messages. Entries of instances that ended remain; they are replaced when one of
 // the same name starts.
 package announcer
 
@@ -33,7 +33,7 @@
 	Interval time.Duration
 }
 
-// Defaults of the settings: the seeds and the words of others do most.
+// Defaults of the settings: the seeds and the messages of others do most.
 const (
 	DefaultRetry    = 3 * time.Second
 	DefaultInterval = 30 * time.Second
--- a/internal/dispatcher/poison.go
+++ b/internal/dispatcher/poison.go
@@ -12,7 +12,7 @@
 	crashEcho = 2 * time.Second
 	// breakagesMost bounds the broken answers remembered for an endpoint.
 	breakagesMost = 64
-	// suspectsTold bounds the suspects in one word to another instance.
+	// suspectsTold bounds the suspects in one message to another instance.
 	suspectsTold = 32
 )
 
--- a/internal/gossiper/copy.go
+++ b/internal/gossiper/copy.go
@@ -17,11 +17,11 @@
 }
 
 // Fetch returns what this instance knows from the platform.
-func (s *service) Fetch(_ context.Context, wish *gossipwire.Wish) (*gossipwire.Copy, error) {
+func (s *service) Fetch(_ context.Context, wish *gossipwire.FetchRequest) (*gossipwire.FetchReply, error) {
 	control := s.gossiper.control
 	configuration, listed := control.Ages()
 	source, registry := control.Known()
-	reply := &gossipwire.Copy{}
+	reply := &gossipwire.FetchReply{}
 	if wish.GetConfiguration() && configuration >= 0 {
 		reply.Configuration, reply.Version, reply.AgeMs = source.Spec, source.Version, milliseconds(configuration)
 	}
@@ -45,7 +45,7 @@
 		return
 	}
 	sent := g.control.Boot()
-	wish := &gossipwire.Wish{Configuration: wants.Configuration, Endpoints: wants.Endpoints}
+	wish := &gossipwire.FetchRequest{Configuration: wants.Configuration, Endpoints: wants.Endpoints}
 	reply, err := gossipwire.NewGossipProtobufClient("http://"+address, g.client).Fetch(ctx, wish)
 	if err != nil {
 		g.meter.Add("gossip.missed", 1)
@@ -61,7 +61,7 @@
 }
 
 // learn takes in a peer's configuration.
-func (g *Gossiper) learn(at time.Duration, reply *gossipwire.Copy) {
+func (g *Gossiper) learn(at time.Duration, reply *gossipwire.FetchReply) {
 	source := dispatcher.Source{Spec: reply.GetConfiguration(), Version: reply.GetVersion()}
 	read, err := g.reader.ReadConfiguration(storer.Object{Spec: source.Spec, Version: source.Version})
 	if err != nil {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -2,7 +2,7 @@
 // their requests at endpoints, the demand they see, requests that crash
 // endpoints, how fresh their configuration is, and who else there is.
 //
-// Each round an instance exchanges a word with a few others, so that the cost
+// Each round an instance exchanges a message with a few others, so that the cost
 // for an instance does not grow with their number. Nothing waits for it: an
 // instance that hears nobody decides by what it sees itself.
 package gossiper
@@ -53,7 +53,7 @@
 	liveFor = 4 * time.Second
 	// fanoutShare is the members for each one told in a round.
 	fanoutShare = 6
-	// fullMembers is the number of members up to which every word tells loads.
+	// fullMembers is the number of members up to which every message tells loads.
 	// In a larger fleet each instance is a smaller part of an endpoint's load,
 	// and tells it so much more seldom that its bytes stay the same.
 	fullMembers = 12
@@ -66,7 +66,7 @@
 	greetRounds = 10
 )
 
-// Gossiper exchanges words with the other instances.
+// Gossiper exchanges messages with the other instances.
 type Gossiper struct {
 	settings Settings
 	control  *dispatcher.Dispatcher
@@ -89,7 +89,7 @@
 	name        string
 	incarnation uint64
 	leaving     bool
-	heard       time.Time // last word from it
+	heard       time.Time // last message from it
 	tried       time.Time // last try of ours
 	added       time.Time
 	busy        bool
@@ -185,12 +185,12 @@
 	return instances, rank
 }
 
-// tell exchanges a word with a member.
+// tell exchanges a message with a member.
 func (g *Gossiper) tell(ctx context.Context, m *member) {
 	ctx, cancel := context.WithTimeout(ctx, g.settings.Timeout)
 	defer cancel()
 	sent := g.control.Boot()
-	reply, err := gossipwire.NewGossipProtobufClient("http://"+m.address, g.client).Tell(ctx, g.word(0, m.full))
+	reply, err := gossipwire.NewGossipProtobufClient("http://"+m.address, g.client).Exchange(ctx, g.message(0, m.full))
 	g.mu.Lock()
 	m.busy = false
 	g.mu.Unlock()
@@ -202,35 +202,35 @@
 	}
 	g.meter.Add("gossip.told", 1)
 	if g.hear(reply) {
-		g.fetch(ctx, m.address, g.control.Vouched(sent, decodeWord(reply).Vouch))
+		g.fetch(ctx, m.address, g.control.ConfirmedBy(sent, decodeMessage(reply).Versions))
 	}
 }
 
-// hear takes in a word; false: it was an earlier start's.
-func (g *Gossiper) hear(word *gossipwire.Word) bool {
-	if !g.note(time.Now(), word) {
+// hear takes in a message; false: it was an earlier start's.
+func (g *Gossiper) hear(message *gossipwire.Message) bool {
+	if !g.note(time.Now(), message) {
 		return false
 	}
-	g.Meet(word.GetMembers())
-	g.control.Heard(word.GetName(), decodeWord(word))
+	g.Meet(message.GetMembers())
+	g.control.Heard(message.GetName(), decodeMessage(message))
 
 	return true
 }
 
 // note records who spoke; false: an earlier start of an instance did.
-func (g *Gossiper) note(now time.Time, word *gossipwire.Word) bool {
-	g.Meet([]string{word.GetAddress()})
+func (g *Gossiper) note(now time.Time, message *gossipwire.Message) bool {
+	g.Meet([]string{message.GetAddress()})
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := g.members[word.GetAddress()]
-	if m == nil || word.GetIncarnation() < m.incarnation {
+	m := g.members[message.GetAddress()]
+	if m == nil || message.GetIncarnation() < m.incarnation {
 		return false
 	}
-	if m.incarnation != word.GetIncarnation() || m.leaving != word.GetLeaving() {
-		g.logger.Info("Instance is known.", "peer", word.GetName(), "address", m.address,
-			"incarnation", word.GetIncarnation(), "leaving", word.GetLeaving())
+	if m.incarnation != message.GetIncarnation() || m.leaving != message.GetLeaving() {
+		g.logger.Info("Instance is known.", "peer", message.GetName(), "address", m.address,
+			"incarnation", message.GetIncarnation(), "leaving", message.GetLeaving())
 	}
-	m.name, m.incarnation, m.leaving, m.heard = word.GetName(), word.GetIncarnation(), word.GetLeaving(), now
+	m.name, m.incarnation, m.leaving, m.heard = message.GetName(), message.GetIncarnation(), message.GetLeaving(), now
 
 	return true
 }
@@ -240,9 +240,9 @@
 	gossiper *Gossiper
 }
 
-// Tell takes in a peer's word and returns the own one.
-func (s *service) Tell(_ context.Context, word *gossipwire.Word) (*gossipwire.Word, error) {
-	s.gossiper.hear(word)
+// Exchange takes in a peer's message and returns the own one.
+func (s *service) Exchange(_ context.Context, message *gossipwire.Message) (*gossipwire.Message, error) {
+	s.gossiper.hear(message)
 
-	return s.gossiper.word(int(word.GetKnown()), !word.GetBrief()), nil
+	return s.gossiper.message(int(message.GetKnown()), !message.GetBrief()), nil
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -181,7 +181,7 @@
 	})
 }
 
-// In a larger fleet brief words pass knowledge on, and loads still arrive.
+// In a larger fleet brief messages pass knowledge on, and loads still arrive.
 func TestLargeFleetTellsLoadsNowAndThen(t *testing.T) {
 	fleet(t, 30, func(t *testing.T, _ *piper.Network, instances []instance, boot func() time.Duration) {
 		time.Sleep(6 * time.Second)
--- a/internal/gossiper/gossipwire/gossip.twirp.go
+++ b/internal/gossiper/gossipwire/gossip.twirp.go
@@ -34,11 +34,11 @@
 // ================
 
 type Gossip interface {
-	// Tell passes on what the sender knows and returns what the receiver knows.
-	Tell(context.Context, *Word) (*Word, error)
+	// Exchange passes on what the sender knows and returns what the receiver knows.
+	Exchange(context.Context, *Message) (*Message, error)
 
 	// Fetch returns what the receiver last read from the platform, or was told.
-	Fetch(context.Context, *Wish) (*Copy, error)
+	Fetch(context.Context, *FetchRequest) (*FetchReply, error)
 }
 
 // ======================
@@ -76,7 +76,7 @@
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "gossipwire", "Gossip")
 	urls := [2]string{
-		serviceURL + "Tell",
+		serviceURL + "Exchange",
 		serviceURL + "Fetch",
 	}
 
@@ -88,26 +88,26 @@
 	}
 }
 
-func (c *gossipProtobufClient) Tell(ctx context.Context, in *Word) (*Word, error) {
+func (c *gossipProtobufClient) Exchange(ctx context.Context, in *Message) (*Message, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "gossipwire")
 	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
-	ctx = ctxsetters.WithMethodName(ctx, "Tell")
-	caller := c.callTell
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
+	caller := c.callExchange
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *Word) (*Word, error) {
+		caller = func(ctx context.Context, req *Message) (*Message, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*Word)
+					typedReq, ok := req.(*Message)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*Word) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*Message) when calling interceptor")
 					}
-					return c.callTell(ctx, typedReq)
+					return c.callExchange(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Word)
+				typedResp, ok := resp.(*Message)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Word) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Message) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -117,8 +117,8 @@
 	return caller(ctx, in)
 }
 
-func (c *gossipProtobufClient) callTell(ctx context.Context, in *Word) (*Word, error) {
-	out := new(Word)
+func (c *gossipProtobufClient) callExchange(ctx context.Context, in *Message) (*Message, error) {
+	out := new(Message)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -134,26 +134,26 @@
 	return out, nil
 }
 
-func (c *gossipProtobufClient) Fetch(ctx context.Context, in *Wish) (*Copy, error) {
+func (c *gossipProtobufClient) Fetch(ctx context.Context, in *FetchRequest) (*FetchReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "gossipwire")
 	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
 	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
 	caller := c.callFetch
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *Wish) (*Copy, error) {
+		caller = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*Wish)
+					typedReq, ok := req.(*FetchRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*Wish) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
 					}
 					return c.callFetch(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Copy)
+				typedResp, ok := resp.(*FetchReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Copy) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -163,8 +163,8 @@
 	return caller(ctx, in)
 }
 
-func (c *gossipProtobufClient) callFetch(ctx context.Context, in *Wish) (*Copy, error) {
-	out := new(Copy)
+func (c *gossipProtobufClient) callFetch(ctx context.Context, in *FetchRequest) (*FetchReply, error) {
+	out := new(FetchReply)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -215,7 +215,7 @@
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "gossipwire", "Gossip")
 	urls := [2]string{
-		serviceURL + "Tell",
+		serviceURL + "Exchange",
 		serviceURL + "Fetch",
 	}
 
@@ -227,26 +227,26 @@
 	}
 }
 
-func (c *gossipJSONClient) Tell(ctx context.Context, in *Word) (*Word, error) {
+func (c *gossipJSONClient) Exchange(ctx context.Context, in *Message) (*Message, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "gossipwire")
 	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
-	ctx = ctxsetters.WithMethodName(ctx, "Tell")
-	caller := c.callTell
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
+	caller := c.callExchange
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *Word) (*Word, error) {
+		caller = func(ctx context.Context, req *Message) (*Message, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*Word)
+					typedReq, ok := req.(*Message)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*Word) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*Message) when calling interceptor")
 					}
-					return c.callTell(ctx, typedReq)
+					return c.callExchange(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Word)
+				typedResp, ok := resp.(*Message)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Word) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Message) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -256,8 +256,8 @@
 	return caller(ctx, in)
 }
 
-func (c *gossipJSONClient) callTell(ctx context.Context, in *Word) (*Word, error) {
-	out := new(Word)
+func (c *gossipJSONClient) callExchange(ctx context.Context, in *Message) (*Message, error) {
+	out := new(Message)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -273,26 +273,26 @@
 	return out, nil
 }
 
-func (c *gossipJSONClient) Fetch(ctx context.Context, in *Wish) (*Copy, error) {
+func (c *gossipJSONClient) Fetch(ctx context.Context, in *FetchRequest) (*FetchReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "gossipwire")
 	ctx = ctxsetters.WithServiceName(ctx, "Gossip")
 	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
 	caller := c.callFetch
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *Wish) (*Copy, error) {
+		caller = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*Wish)
+					typedReq, ok := req.(*FetchRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*Wish) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
 					}
 					return c.callFetch(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Copy)
+				typedResp, ok := resp.(*FetchReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Copy) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -302,8 +302,8 @@
 	return caller(ctx, in)
 }
 
-func (c *gossipJSONClient) callFetch(ctx context.Context, in *Wish) (*Copy, error) {
-	out := new(Copy)
+func (c *gossipJSONClient) callFetch(ctx context.Context, in *FetchRequest) (*FetchReply, error) {
+	out := new(FetchReply)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -416,8 +416,8 @@
 	}
 
 	switch method {
-	case "Tell":
-		s.serveTell(ctx, resp, req)
+	case "Exchange":
+		s.serveExchange(ctx, resp, req)
 		return
 	case "Fetch":
 		s.serveFetch(ctx, resp, req)
@@ -429,7 +429,7 @@
 	}
 }
 
-func (s *gossipServer) serveTell(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *gossipServer) serveExchange(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -437,9 +437,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveTellJSON(ctx, resp, req)
+		s.serveExchangeJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveTellProtobuf(ctx, resp, req)
+		s.serveExchangeProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -447,9 +447,9 @@
 	}
 }
 
-func (s *gossipServer) serveTellJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *gossipServer) serveExchangeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Tell")
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -462,29 +462,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(Word)
+	reqContent := new(Message)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Gossip.Tell
+	handler := s.Gossip.Exchange
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *Word) (*Word, error) {
+		handler = func(ctx context.Context, req *Message) (*Message, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*Word)
+					typedReq, ok := req.(*Message)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*Word) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*Message) when calling interceptor")
 					}
-					return s.Gossip.Tell(ctx, typedReq)
+					return s.Gossip.Exchange(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Word)
+				typedResp, ok := resp.(*Message)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Word) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Message) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -493,7 +493,7 @@
 	}
 
 	// Call service method
-	var respContent *Word
+	var respContent *Message
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -504,7 +504,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Word and nil error while calling Tell. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Message and nil error while calling Exchange. nil responses are not supported"))
 		return
 	}
 
@@ -530,9 +530,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *gossipServer) serveTellProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *gossipServer) serveExchangeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Tell")
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -544,28 +544,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(Word)
+	reqContent := new(Message)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Gossip.Tell
+	handler := s.Gossip.Exchange
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *Word) (*Word, error) {
+		handler = func(ctx context.Context, req *Message) (*Message, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*Word)
+					typedReq, ok := req.(*Message)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*Word) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*Message) when calling interceptor")
 					}
-					return s.Gossip.Tell(ctx, typedReq)
+					return s.Gossip.Exchange(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Word)
+				typedResp, ok := resp.(*Message)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Word) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Message) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -574,7 +574,7 @@
 	}
 
 	// Call service method
-	var respContent *Word
+	var respContent *Message
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -585,7 +585,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Word and nil error while calling Tell. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Message and nil error while calling Exchange. nil responses are not supported"))
 		return
 	}
 
@@ -642,7 +642,7 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(Wish)
+	reqContent := new(FetchRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
@@ -651,20 +651,20 @@
 
 	handler := s.Gossip.Fetch
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *Wish) (*Copy, error) {
+		handler = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*Wish)
+					typedReq, ok := req.(*FetchRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*Wish) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
 					}
 					return s.Gossip.Fetch(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Copy)
+				typedResp, ok := resp.(*FetchReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Copy) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -673,7 +673,7 @@
 	}
 
 	// Call service method
-	var respContent *Copy
+	var respContent *FetchReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -684,7 +684,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Copy and nil error while calling Fetch. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchReply and nil error while calling Fetch. nil responses are not supported"))
 		return
 	}
 
@@ -724,7 +724,7 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(Wish)
+	reqContent := new(FetchRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
@@ -732,20 +732,20 @@
 
 	handler := s.Gossip.Fetch
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *Wish) (*Copy, error) {
+		handler = func(ctx context.Context, req *FetchRequest) (*FetchReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*Wish)
+					typedReq, ok := req.(*FetchRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*Wish) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
 					}
 					return s.Gossip.Fetch(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Copy)
+				typedResp, ok := resp.(*FetchReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Copy) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -754,7 +754,7 @@
 	}
 
 	// Call service method
-	var respContent *Copy
+	var respContent *FetchReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -765,7 +765,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Copy and nil error while calling Fetch. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchReply and nil error while calling Fetch. nil responses are not supported"))
 		return
 	}
 
@@ -1370,52 +1370,53 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 751 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x55, 0xcd, 0x8e, 0xeb, 0x34,
-	0x14, 0x56, 0xd2, 0x24, 0x6d, 0x4f, 0xa7, 0xd5, 0xc5, 0x94, 0x2b, 0xeb, 0x0a, 0x89, 0x28, 0xba,
-	0x42, 0x85, 0x41, 0x1d, 0x69, 0xd8, 0xb1, 0x1b, 0xca, 0x8f, 0x84, 0x60, 0x63, 0x90, 0x46, 0x62,
-	0x33, 0x72, 0xe3, 0x33, 0xa9, 0x35, 0xa9, 0x1d, 0xd9, 0xe9, 0x8c, 0xd8, 0xb0, 0xe0, 0x11, 0x78,
-	0x10, 0x76, 0x3c, 0x09, 0x2f, 0x84, 0xec, 0x38, 0x6d, 0x3a, 0x33, 0xba, 0x3b, 0x7f, 0xe7, 0x1c,
-	0x1f, 0x7f, 0x39, 0xdf, 0x67, 0x07, 0xbe, 0x90, 0xaa, 0x45, 0xa3, 0x78, 0x7d, 0x55, 0x69, 0x6b,
-	0x65, 0x83, 0x26, 0x2c, 0x9e, 0xa4, 0xc1, 0xb0, 0x5c, 0x37, 0x46, 0xb7, 0x9a, 0xc0, 0x29, 0x51,
-	0xfc, 0x33, 0x82, 0xe4, 0x56, 0x1b, 0x41, 0x08, 0x24, 0x8a, 0xef, 0x91, 0x46, 0x79, 0xb4, 0x9a,
-	0x32, 0xbf, 0x26, 0x14, 0xc6, 0x5c, 0x08, 0x83, 0xd6, 0xd2, 0xd8, 0x87, 0x7b, 0x48, 0x72, 0x98,
-	0x49, 0x55, 0x72, 0xa3, 0x78, 0x2b, 0xb5, 0xa2, 0xa3, 0x3c, 0x5a, 0x25, 0x6c, 0x18, 0x72, 0x7b,
-	0x6b, 0xe4, 0x8f, 0x52, 0x55, 0x34, 0xc9, 0xa3, 0xd5, 0x84, 0xf5, 0x90, 0x7c, 0x0e, 0x69, 0xad,
-	0xb9, 0xb0, 0x34, 0xcd, 0x47, 0xab, 0xd9, 0xf5, 0x9b, 0xf5, 0x89, 0xce, 0xfa, 0x67, 0xcd, 0x05,
-	0xeb, 0xd2, 0xae, 0xc3, 0x1e, 0xf7, 0x5b, 0x34, 0x96, 0x66, 0xf9, 0xc8, 0x9d, 0x1e, 0x20, 0x59,
-	0x42, 0xfa, 0xa0, 0xf4, 0x93, 0xa2, 0xe3, 0x3c, 0x5a, 0xcd, 0x59, 0x07, 0xc8, 0x5b, 0xc8, 0xd4,
-	0xc1, 0x15, 0xd0, 0x89, 0xa7, 0x13, 0x10, 0xf9, 0x04, 0x32, 0x5e, 0xe1, 0xdd, 0xde, 0xd2, 0x69,
-	0x57, 0xce, 0x2b, 0xfc, 0xc5, 0x92, 0x2b, 0x98, 0xd8, 0x83, 0x6d, 0xb0, 0x6c, 0x2d, 0x05, 0xcf,
-	0xe4, 0xe3, 0x21, 0x93, 0x5f, 0xbb, 0x1c, 0x3b, 0x16, 0x91, 0xaf, 0x60, 0x2c, 0x70, 0xcf, 0x95,
-	0xb0, 0x74, 0xe6, 0xeb, 0xc9, 0xb0, 0xfe, 0x3b, 0x9f, 0x62, 0x7d, 0x89, 0x63, 0x23, 0x64, 0x85,
-	0xb6, 0xa5, 0x17, 0x79, 0xb4, 0xca, 0x58, 0x40, 0x64, 0x05, 0x6f, 0x50, 0x89, 0x46, 0x4b, 0xd5,
-	0xda, 0xbb, 0xc0, 0x6b, 0xee, 0x79, 0x2d, 0x8e, 0xf1, 0x1b, 0x4f, 0x70, 0x09, 0xe9, 0xd6, 0x48,
-	0xbc, 0xa7, 0x0b, 0x3f, 0xbf, 0x0e, 0x14, 0x7f, 0x42, 0xd6, 0x1d, 0xe5, 0xe6, 0x63, 0xd1, 0x3c,
-	0xca, 0xb2, 0x17, 0xad, 0x87, 0x6e, 0xa7, 0xdd, 0x69, 0xd3, 0x7a, 0xd5, 0x62, 0xd6, 0x01, 0xa7,
-	0x70, 0xad, 0x55, 0xe5, 0xc5, 0x8a, 0x99, 0x5f, 0x3b, 0x96, 0x5b, 0x6d, 0x04, 0x1a, 0x2f, 0xd2,
-	0x9c, 0x05, 0xe4, 0x7a, 0xa3, 0xaa, 0xa4, 0x42, 0xa7, 0x92, 0x4b, 0xf4, 0xb0, 0xf8, 0x2b, 0x82,
-	0xc4, 0xa9, 0x44, 0xde, 0xc1, 0xa4, 0x27, 0x1c, 0xce, 0x3f, 0x62, 0xb7, 0xdd, 0x1c, 0x94, 0x72,
-	0xe2, 0xc7, 0xdd, 0xf6, 0x00, 0x5d, 0xa6, 0x41, 0x25, 0x64, 0xe0, 0x31, 0x67, 0x3d, 0x3c, 0x91,
-	0xee, 0x98, 0x04, 0xd2, 0x4b, 0x48, 0x0d, 0xf6, 0x66, 0xc9, 0x58, 0x07, 0x8a, 0xbf, 0x23, 0x18,
-	0x07, 0x81, 0x9c, 0x15, 0xef, 0xa5, 0xaa, 0xd0, 0x34, 0xa6, 0xa7, 0x92, 0xb1, 0x61, 0x88, 0x5c,
-	0xc2, 0xb8, 0x34, 0xdc, 0xee, 0xd0, 0xd9, 0xd8, 0x09, 0xf7, 0xd1, 0x50, 0xb8, 0x8d, 0x4b, 0xb1,
-	0xbe, 0xc2, 0x4d, 0xc9, 0x1e, 0x0c, 0x7a, 0x76, 0x13, 0xe6, 0xd7, 0xe4, 0x3d, 0x2c, 0xca, 0x1a,
-	0xb9, 0x41, 0xd1, 0x2b, 0xd6, 0x71, 0xbc, 0x08, 0x51, 0xaf, 0x57, 0xf1, 0x0d, 0xa4, 0xbe, 0xd7,
-	0x8b, 0xc9, 0x64, 0x83, 0xc9, 0x9c, 0xcc, 0x18, 0x0f, 0xcc, 0x58, 0xfc, 0x04, 0xc9, 0xad, 0xb4,
-	0x3b, 0xf2, 0x1e, 0xe6, 0xa5, 0x56, 0xf7, 0xb2, 0x3a, 0x98, 0xee, 0x66, 0x45, 0x9e, 0xc6, 0x79,
-	0x90, 0x7c, 0x0a, 0xd3, 0xa3, 0x57, 0x7c, 0x9f, 0x09, 0x3b, 0x05, 0x8a, 0xff, 0x22, 0x48, 0x36,
-	0xba, 0xf9, 0xe3, 0xf5, 0x66, 0x17, 0xcf, 0x9b, 0x51, 0x18, 0x3f, 0xa2, 0xb1, 0x2e, 0x1f, 0xfb,
-	0x7b, 0xd3, 0xc3, 0x01, 0xd7, 0xd1, 0xf0, 0xe2, 0x5c, 0x0f, 0x4f, 0x4f, 0xfc, 0x40, 0x97, 0xc3,
-	0x81, 0x7e, 0x1f, 0x92, 0x03, 0x4e, 0xaf, 0xba, 0x3e, 0x7d, 0xd5, 0xf5, 0x6f, 0x21, 0xab, 0xa5,
-	0x6d, 0x51, 0xd0, 0xcc, 0x7f, 0x58, 0x40, 0xc5, 0xbf, 0x11, 0x4c, 0xfa, 0xce, 0x64, 0x01, 0xb1,
-	0x14, 0xc1, 0x75, 0xb1, 0x3c, 0xbb, 0x0a, 0xf1, 0xf9, 0x55, 0x18, 0x3c, 0x61, 0xa3, 0xf3, 0x27,
-	0xec, 0x33, 0x98, 0x09, 0xde, 0xf2, 0xbb, 0x12, 0x55, 0x6b, 0xd0, 0x2b, 0x3a, 0x65, 0xe0, 0x42,
-	0x1b, 0x1f, 0xf1, 0x86, 0xac, 0x75, 0xdb, 0x13, 0xed, 0x80, 0x13, 0x57, 0x18, 0x2e, 0xbd, 0xb7,
-	0x3b, 0x86, 0x47, 0xec, 0xbc, 0xb3, 0xd5, 0xa6, 0x7b, 0x96, 0x46, 0xcc, 0xaf, 0xaf, 0x39, 0x64,
-	0x3f, 0xfa, 0xd9, 0x90, 0x2f, 0x21, 0xf9, 0x0d, 0xeb, 0x9a, 0x9c, 0x3d, 0x78, 0xee, 0xed, 0x7d,
-	0xf7, 0x22, 0x42, 0x2e, 0x21, 0xfd, 0x01, 0xdb, 0x72, 0xf7, 0xac, 0x58, 0xda, 0xdd, 0x79, 0xb1,
-	0xd3, 0xf9, 0xdb, 0xcd, 0xef, 0x37, 0x95, 0x6c, 0x77, 0x87, 0xed, 0xba, 0xd4, 0xfb, 0x2b, 0x5d,
-	0x23, 0x57, 0x02, 0x4d, 0x23, 0xcb, 0x87, 0x73, 0xf0, 0xa1, 0x3f, 0xc4, 0x36, 0xf3, 0xff, 0x86,
-	0xaf, 0xff, 0x0f, 0x00, 0x00, 0xff, 0xff, 0x27, 0x0b, 0xc6, 0xe6, 0x48, 0x06, 0x00, 0x00,
+	// 762 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x55, 0x4d, 0x8f, 0xf3, 0x34,
+	0x10, 0x56, 0xd2, 0x26, 0x4d, 0xa7, 0x1f, 0x7a, 0x31, 0x65, 0x65, 0xad, 0x90, 0x88, 0xa2, 0x57,
+	0xa8, 0x08, 0xd4, 0x95, 0x16, 0x2e, 0x70, 0x7b, 0x59, 0x5e, 0xb8, 0xb0, 0x17, 0x73, 0xe3, 0xb2,
+	0x72, 0xe3, 0xd9, 0xd4, 0xda, 0xd4, 0x0e, 0x76, 0xba, 0xcb, 0x5e, 0x38, 0xf0, 0x13, 0xf8, 0x27,
+	0x1c, 0xf8, 0x31, 0xfc, 0x1b, 0x64, 0xc7, 0x69, 0x53, 0xa8, 0xb8, 0xf9, 0x99, 0x19, 0x4f, 0x9e,
+	0xce, 0xf3, 0x8c, 0x0b, 0x9f, 0x49, 0xd5, 0xa2, 0x51, 0xbc, 0xbe, 0xa9, 0xb4, 0xb5, 0xb2, 0x41,
+	0x13, 0x0e, 0x2f, 0xd2, 0x60, 0x38, 0x6e, 0x1a, 0xa3, 0x5b, 0x4d, 0xe0, 0x94, 0x28, 0xfe, 0x1c,
+	0xc1, 0xe4, 0x1e, 0xad, 0xe5, 0x15, 0x12, 0x02, 0x63, 0xc5, 0xf7, 0x48, 0xa3, 0x3c, 0x5a, 0x4f,
+	0x99, 0x3f, 0x13, 0x0a, 0x13, 0x2e, 0x84, 0x41, 0x6b, 0x69, 0xec, 0xc3, 0x3d, 0x24, 0x39, 0xcc,
+	0xa4, 0x2a, 0xb9, 0x51, 0xbc, 0x95, 0x5a, 0xd1, 0x51, 0x1e, 0xad, 0xc7, 0x6c, 0x18, 0x72, 0x77,
+	0x6b, 0xe4, 0xcf, 0x52, 0x55, 0x74, 0x9c, 0x47, 0xeb, 0x8c, 0xf5, 0x90, 0x7c, 0x0a, 0x49, 0xad,
+	0xb9, 0xb0, 0x34, 0xc9, 0x47, 0xeb, 0xd9, 0xed, 0x9b, 0xcd, 0x89, 0xd1, 0xe6, 0x47, 0xcd, 0x05,
+	0xeb, 0xd2, 0xae, 0xc3, 0x1e, 0xf7, 0x5b, 0x34, 0x96, 0xa6, 0xf9, 0xc8, 0x7d, 0x3d, 0x40, 0xb2,
+	0x82, 0xe4, 0x49, 0xe9, 0x17, 0x45, 0x27, 0x79, 0xb4, 0x5e, 0xb0, 0x0e, 0x90, 0x2b, 0x48, 0xd5,
+	0xc1, 0x15, 0xd0, 0xcc, 0xd3, 0x09, 0x88, 0x7c, 0x04, 0x29, 0xaf, 0xf0, 0x61, 0x6f, 0xe9, 0xb4,
+	0x2b, 0xe7, 0x15, 0xde, 0x5b, 0x72, 0x03, 0x99, 0x3d, 0xd8, 0x06, 0xcb, 0xd6, 0x52, 0xf0, 0x4c,
+	0x3e, 0x1c, 0x32, 0xf9, 0xa9, 0xcb, 0xb1, 0x63, 0x11, 0xf9, 0x02, 0x26, 0x02, 0xf7, 0x5c, 0x09,
+	0x4b, 0x67, 0xbe, 0x9e, 0x0c, 0xeb, 0xbf, 0xf3, 0x29, 0xd6, 0x97, 0x38, 0x36, 0x42, 0x56, 0x68,
+	0x5b, 0x3a, 0xcf, 0xa3, 0x75, 0xca, 0x02, 0x22, 0x6b, 0x78, 0x83, 0x4a, 0x34, 0x5a, 0xaa, 0xd6,
+	0x3e, 0x04, 0x5e, 0x0b, 0xcf, 0x6b, 0x79, 0x8c, 0xbf, 0xf3, 0x04, 0x57, 0x90, 0x6c, 0x8d, 0xc4,
+	0x47, 0xba, 0xf4, 0xf3, 0xeb, 0x40, 0xf1, 0x1b, 0xa4, 0xdd, 0xa7, 0xdc, 0x7c, 0x2c, 0x9a, 0x67,
+	0x59, 0xf6, 0xa2, 0xf5, 0xd0, 0xdd, 0xb4, 0x3b, 0x6d, 0x5a, 0xaf, 0x5a, 0xcc, 0x3a, 0xe0, 0x14,
+	0xae, 0xb5, 0xaa, 0xbc, 0x58, 0x31, 0xf3, 0x67, 0xc7, 0x72, 0xab, 0x8d, 0x40, 0xe3, 0x45, 0x5a,
+	0xb0, 0x80, 0x5c, 0x6f, 0x54, 0x95, 0x54, 0xe8, 0x54, 0x72, 0x89, 0x1e, 0x16, 0xbf, 0x47, 0x30,
+	0x76, 0x2a, 0x91, 0x6b, 0xc8, 0x7a, 0xc2, 0xe1, 0xfb, 0x47, 0xec, 0xae, 0x9b, 0x83, 0x52, 0x4e,
+	0xfc, 0xb8, 0xbb, 0x1e, 0xa0, 0xcb, 0x34, 0xa8, 0x84, 0x0c, 0x3c, 0x16, 0xac, 0x87, 0x27, 0xd2,
+	0x1d, 0x93, 0x40, 0x7a, 0x05, 0x89, 0xc1, 0xde, 0x2c, 0x29, 0xeb, 0x40, 0xf1, 0x47, 0x04, 0x93,
+	0x20, 0x90, 0xb3, 0xe2, 0xa3, 0x54, 0x15, 0x9a, 0xc6, 0xf4, 0x54, 0x52, 0x36, 0x0c, 0x91, 0xcf,
+	0x61, 0x52, 0x1a, 0x6e, 0x77, 0xe8, 0x6c, 0xec, 0x84, 0xfb, 0x60, 0x28, 0xdc, 0x9d, 0x4b, 0xb1,
+	0xbe, 0xc2, 0x4d, 0xc9, 0x1e, 0x0c, 0x7a, 0x76, 0x19, 0xf3, 0x67, 0xf2, 0x16, 0x96, 0x65, 0x8d,
+	0xdc, 0xa0, 0xe8, 0x15, 0xeb, 0x38, 0xce, 0x43, 0xd4, 0xeb, 0x55, 0x7c, 0x03, 0x89, 0xef, 0xf5,
+	0x9f, 0xc9, 0xa4, 0x83, 0xc9, 0x9c, 0xcc, 0x18, 0x0f, 0xcc, 0x58, 0x30, 0x98, 0x7f, 0x8f, 0x6d,
+	0xb9, 0x63, 0xf8, 0xcb, 0xc1, 0xb9, 0xe4, 0x2d, 0x2c, 0x4a, 0xad, 0x1e, 0x65, 0x75, 0x30, 0xdd,
+	0x86, 0x45, 0x9e, 0xce, 0x79, 0x90, 0x7c, 0x0c, 0xd3, 0xa3, 0x67, 0x7c, 0xbf, 0x8c, 0x9d, 0x02,
+	0xc5, 0xdf, 0x11, 0x40, 0x68, 0xda, 0xd4, 0xaf, 0x97, 0x5b, 0xce, 0xff, 0xdd, 0x92, 0xc2, 0xe4,
+	0x19, 0x8d, 0x75, 0xf9, 0xd8, 0x6f, 0x51, 0x0f, 0x07, 0xcc, 0x47, 0xc3, 0x35, 0xba, 0x1d, 0x72,
+	0x18, 0xfb, 0xf1, 0xae, 0x86, 0xe3, 0x7d, 0x1f, 0x92, 0x03, 0x66, 0x17, 0x77, 0x20, 0xb9, 0xb8,
+	0x03, 0x57, 0x90, 0xd6, 0xd2, 0xb6, 0x28, 0x68, 0xea, 0x7f, 0x5e, 0x40, 0xc5, 0x5f, 0x11, 0x64,
+	0x7d, 0x67, 0xb2, 0x84, 0x58, 0x8a, 0xe0, 0xc1, 0x58, 0x9e, 0x2d, 0x46, 0x7c, 0xbe, 0x18, 0x83,
+	0x07, 0x6d, 0x74, 0xfe, 0xa0, 0x7d, 0x02, 0x33, 0xc1, 0x5b, 0xfe, 0x50, 0xa2, 0x6a, 0x0d, 0x7a,
+	0x7d, 0xa7, 0x0c, 0x5c, 0xe8, 0xce, 0x47, 0xbc, 0x3d, 0x6b, 0xdd, 0xf6, 0x44, 0x3b, 0xe0, 0xa4,
+	0x16, 0x86, 0x4b, 0xef, 0xf4, 0x8e, 0xe1, 0x11, 0x3b, 0x27, 0x6d, 0xb5, 0xe9, 0x1e, 0xa9, 0x11,
+	0xf3, 0xe7, 0xdb, 0x57, 0x48, 0x7f, 0xf0, 0xb3, 0x21, 0x5f, 0x41, 0xf6, 0xfe, 0xd7, 0x72, 0xc7,
+	0x55, 0x85, 0xe4, 0xec, 0xe1, 0x09, 0x0f, 0xf2, 0xf5, 0xa5, 0x20, 0xf9, 0x1a, 0x12, 0x2f, 0x29,
+	0xa1, 0xc3, 0xec, 0xd0, 0x3a, 0xd7, 0x57, 0x17, 0x32, 0x4d, 0xfd, 0xfa, 0xed, 0xdd, 0xcf, 0xef,
+	0x2a, 0xd9, 0xee, 0x0e, 0xdb, 0x4d, 0xa9, 0xf7, 0x37, 0xba, 0x46, 0xae, 0x04, 0x9a, 0x46, 0x96,
+	0x4f, 0xe7, 0xe0, 0xff, 0xfe, 0x4a, 0xb6, 0xa9, 0xff, 0x13, 0xf9, 0xf2, 0x9f, 0x00, 0x00, 0x00,
+	0xff, 0xff, 0x38, 0xab, 0xc5, 0xb2, 0x71, 0x06, 0x00, 0x00,
 }
--- a/internal/gossiper/word.go
+++ b/internal/gossiper/message.go
@@ -9,15 +9,15 @@
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 )
 
-// word is what this instance tells one that knows so many others; full words
+// message is what this instance tells one that knows so many others; full messages
 // tell loads.
-func (g *Gossiper) word(known int, full bool) *gossipwire.Word {
-	state := g.control.Tells()
+func (g *Gossiper) message(known int, full bool) *gossipwire.Message {
+	state := g.control.Message()
 	addresses := g.addresses()
 	g.mu.Lock()
 	leaving := g.leaving
 	g.mu.Unlock()
-	word := &gossipwire.Word{
+	message := &gossipwire.Message{
 		Name:        g.settings.Name,
 		Address:     g.settings.Address,
 		Incarnation: g.settings.Incarnation,
@@ -25,40 +25,40 @@
 		Known:       uint32(len(addresses)),
 		Brief:       !full,
 
-		Number:         state.Vouch.Number,
-		AgeMs:          milliseconds(state.Vouch.Age),
-		Digest:         state.Vouch.Digest,
-		EndpointsAgeMs: milliseconds(state.Vouch.EndpointsAge),
+		Number:         state.Versions.Number,
+		AgeMs:          milliseconds(state.Versions.Age),
+		Digest:         state.Versions.Digest,
+		EndpointsAgeMs: milliseconds(state.Versions.EndpointsAge),
 	}
 	if known < len(addresses) {
-		word.Members = addresses
+		message.Members = addresses
 	}
 	if full {
-		addLoads(word, state)
+		addLoads(message, state)
 	}
 	now := time.Now()
 	for _, entry := range state.Suspects {
-		word.Suspects = append(word.Suspects, encodeSuspect(now, entry))
+		message.Suspects = append(message.Suspects, encodeSuspect(now, entry))
 	}
 
-	return word
+	return message
 }
 
 // addLoads adds what runs at endpoints, what they read and what arrives.
-func addLoads(word *gossipwire.Word, state dispatcher.Word) {
+func addLoads(message *gossipwire.Message, state dispatcher.Message) {
 	for id := range state.Reads {
 		if _, ok := state.Loads[id]; !ok {
 			state.Loads[id] = placer.Load{}
 		}
 	}
 	for id, load := range state.Loads {
-		word.Loads = append(word.Loads, &gossipwire.Load{
+		message.Loads = append(message.Loads, &gossipwire.Load{
 			Endpoint: id, Running: uint32(max(0, load.Running)), Short: uint32(max(0, load.Short)),
 			Pending: uint32(max(0, load.Pending)), Reads: state.Reads[id],
 		})
 	}
 	for name, demand := range state.Demands {
-		word.Demands = append(word.Demands, &gossipwire.Demand{
+		message.Demands = append(message.Demands, &gossipwire.Demand{
 			Service: name, Short: float32(demand.Short), Long: float32(demand.Long),
 			Border: uint32(max(0, demand.Border)), Engines: uint32(max(0, demand.Engines)),
 		})
@@ -95,15 +95,15 @@
 	return uint32(min(max(0, age.Milliseconds()), 1<<31))
 }
 
-func decodeWord(word *gossipwire.Word) dispatcher.Word {
-	decoded := dispatcher.Word{Brief: word.GetBrief(), Loads: map[string]placer.Load{}, Demands: map[string]placer.Demand{}, Reads: map[string][]uint64{}}
-	for _, load := range word.GetLoads() {
+func decodeMessage(message *gossipwire.Message) dispatcher.Message {
+	decoded := dispatcher.Message{Brief: message.GetBrief(), Loads: map[string]placer.Load{}, Demands: map[string]placer.Demand{}, Reads: map[string][]uint64{}}
+	for _, load := range message.GetLoads() {
 		decoded.Loads[load.GetEndpoint()] = placer.Load{
 			Running: int(load.GetRunning()), Short: int(load.GetShort()), Pending: int(load.GetPending()),
 		}
 		decoded.Reads[load.GetEndpoint()] = load.GetReads()
 	}
-	for _, demand := range word.GetDemands() {
+	for _, demand := range message.GetDemands() {
 		decoded.Demands[demand.GetService()] = placer.Demand{
 			Short: float64(demand.GetShort()), Long: float64(demand.GetLong()),
 			Border: int(demand.GetBorder()), Engines: int(demand.GetEngines()),
@@ -111,14 +111,14 @@
 	}
 
 	now := time.Now()
-	for _, suspect := range word.GetSuspects() {
+	for _, suspect := range message.GetSuspects() {
 		decoded.Suspects = append(decoded.Suspects, decodeSuspect(now, suspect))
 	}
-	decoded.Vouch = dispatcher.Vouch{
-		Number:       word.GetNumber(),
-		Age:          time.Duration(word.GetAgeMs()) * time.Millisecond,
-		Digest:       word.GetDigest(),
-		EndpointsAge: time.Duration(word.GetEndpointsAgeMs()) * time.Millisecond,
+	decoded.Versions = dispatcher.Versions{
+		Number:       message.GetNumber(),
+		Age:          time.Duration(message.GetAgeMs()) * time.Millisecond,
+		Digest:       message.GetDigest(),
+		EndpointsAge: time.Duration(message.GetEndpointsAgeMs()) * time.Millisecond,
 	}
 
 	return decoded
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -43,9 +43,9 @@
 	body   []byte
 }
 
-// unheardFor is the silence after which an endpoint counts as failed; nearly all
+// silentFor is the silence after which an endpoint counts as failed; nearly all
 // answers of a sound one begin within it.
-const unheardFor = time.Second
+const silentFor = time.Second
 
 // errStale is a send that was stopped since keys may have been taken away.
 var errStale = errors.New("configuration not confirmed")
@@ -200,7 +200,7 @@
 		t.cause = errStalled
 	case errors.Is(cause, errStale):
 		t.result = placer.Canceled
-	case ctx.Err() != nil && !j.unheard(t):
+	case ctx.Err() != nil && !j.silent(t):
 		t.result = placer.Canceled
 	}
 	if t.ran && t.result == placer.Failed && !stalled {
@@ -211,11 +211,11 @@
 	}
 }
 
-// unheard reports whether the endpoint gave no sign of life, on any request, for
+// silent reports whether the endpoint gave no sign of life, on any request, for
 // so long that it counts as failed although nobody waits any more.
-func (j *job) unheard(t *trial) bool {
+func (j *job) silent(t *trial) bool {
 	waited := time.Since(t.sent)
-	return t.ran && t.response == nil && waited >= unheardFor && j.relayer.control.Silence(t.placement) >= waited
+	return t.ran && t.response == nil && waited >= silentFor && j.relayer.control.Silence(t.placement) >= waited
 }
 
 // fingerprint names what the request asks for, by whom.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -137,7 +137,7 @@
 	if j.relayer.control.Suspects() && j.relayer.control.HeldBack(j.fingerprint()) {
 		return answerer.New(answerer.KindHeldBack, "The request crashed endpoints.").WithRetryAfter(heldWait)
 	}
-	j.aim()
+	j.describe()
 
 	return nil
 }
@@ -252,8 +252,8 @@
 	j.deadline = j.received.Add(patience)
 }
 
-// aim finds the service and describes the request to the placer.
-func (j *job) aim() {
+// describe finds the service and describes the request to the placer.
+func (j *job) describe() {
 	name := j.route.Service(j.relayer.random())
 	j.service, _ = j.matcher.Service(name)
 	j.ask = placer.Ask{Service: name}
--- a/pkg/placer/peers.go
+++ b/pkg/placer/peers.go
@@ -3,71 +3,71 @@
 import "time"
 
 const (
-	// peerMemory is the least time that the word of another instance counts.
+	// peerMemory is the least time that the message of another instance counts.
 	peerMemory = time.Second
-	// wordsMissed is how many words of an instance may be missed before its
+	// messagesMissed is how many messages of an instance may be missed before its
 	// last one counts no more.
-	wordsMissed = 3
-	// gapMemory is the weight of one more gap between two words.
+	messagesMissed = 3
+	// gapMemory is the weight of one more gap between two messages.
 	gapMemory = 0.3
-	// expireInterval is the time between two looks for old words.
+	// expireInterval is the time between two looks for old messages.
 	expireInterval = 100 * time.Millisecond
 )
 
 // peers are the other instances by name. What they have at endpoints is kept as
 // a sum at each endpoint, so that a pick does not take longer in a larger fleet.
 type peers struct {
-	words   map[string]*word
-	expired time.Time
+	messages map[string]*message
+	expired  time.Time
 }
 
-// word is the last word of an instance.
-type word struct {
+// message is the last message of an instance.
+type message struct {
 	at    time.Time
-	gap   time.Duration // usual time between two words
+	gap   time.Duration // usual time between two messages
 	loads map[string]Load
 }
 
-// hear takes in a word.
+// hear takes in a message.
 func (p *peers) hear(now time.Time, name string, loads map[string]Load, endpoints map[string]*endpoint) {
-	if p.words == nil {
-		p.words = map[string]*word{}
+	if p.messages == nil {
+		p.messages = map[string]*message{}
 	}
-	w := p.words[name]
-	if w == nil {
-		w = &word{at: now}
-		p.words[name] = w
+	m := p.messages[name]
+	if m == nil {
+		m = &message{at: now}
+		p.messages[name] = m
 	}
-	w.add(endpoints, -1)
-	w.gap += time.Duration(gapMemory * float64(now.Sub(w.at)-w.gap))
-	w.at, w.loads = now, loads
-	w.add(endpoints, 1)
+	m.add(endpoints, -1)
+	m.gap += time.Duration(gapMemory * float64(now.Sub(m.at)-m.gap))
+	m.at, m.loads = now, loads
+	m.add(endpoints, 1)
 }
 
-// expire forgets words that are too old.
+// expire forgets messages that are too old.
 func (p *peers) expire(now time.Time, endpoints map[string]*endpoint) {
 	if now.Sub(p.expired) < expireInterval {
 		return
 	}
 	p.expired = now
-	for name, w := range p.words {
-		if now.Sub(w.at) > max(peerMemory, wordsMissed*w.gap) {
-			w.add(endpoints, -1)
-			delete(p.words, name)
+	for name, m := range p.messages {
+		if now.Sub(m.at) > max(peerMemory, messagesMissed*m.gap) {
+			m.add(endpoints, -1)
+			delete(p.messages, name)
 		}
 	}
 }
 
-// count adds all words to endpoints whose sums are empty.
+// count adds all messages to endpoints whose sums are empty.
 func (p *peers) count(endpoints map[string]*endpoint) {
-	for _, w := range p.words {
-		w.add(endpoints, 1)
+	for _, m := range p.messages {
+		m.add(endpoints, 1)
 	}
 }
 
-// add adds a multiple of the word to the endpoints' sums.
-func (w *word) add(endpoints map[string]*endpoint, factor int) {
-	for id, load := range w.loads {
+// add adds a multiple of the message to the endpoints' sums.
+func (m *message) add(endpoints map[string]*endpoint, factor int) {
+	for id, load := range m.loads {
 		if e := endpoints[id]; e != nil {
 			e.others = e.others.plus(load, factor)
 		}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -111,7 +111,7 @@
 		return 0, false
 	}
 
-	return choice.Expected + surge, true
+	return choice.Expected + surgeTime, true
 }
 
 // Start records that own request id was sent.
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -140,7 +140,7 @@
 	assert.Equal(t, after.ID, before.ID)
 	p.Heard(start, "a", map[string]placer.Load{before.ID: {Running: 64, Short: 64}}, nil)
 	assert.Assert(t, pick(t, p, start, short()).ID != before.ID)
-	assert.Equal(t, pick(t, p, start.Add(time.Minute), short()).ID, before.ID, "an old word counts no more")
+	assert.Equal(t, pick(t, p, start.Add(time.Minute), short()).ID, before.ID, "an old message counts no more")
 }
 
 // The instances agree on the border: they take it from the first of them.
@@ -275,7 +275,7 @@
 	assert.Equal(t, p.Loads()[choice.ID], placer.Load{})
 }
 
-// The sums of what peers run equal what their last words say, whatever words,
+// The sums of what peers run equal what their last messages say, whatever messages,
 // silences and changes of the endpoints come in between.
 func TestSumsOfPeersAsNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -305,11 +305,11 @@
 		_, _ = p.Pick(now.Add(200*time.Millisecond), placer.Ask{Service: "api"})
 		now = now.Add(200 * time.Millisecond)
 		want := map[string]int{}
-		for _, word := range last {
-			if now.Sub(word.at) > time.Second {
-				return // Whether such a word counts depends on its instance's pace.
+		for _, message := range last {
+			if now.Sub(message.at) > time.Second {
+				return // Whether such a message counts depends on its instance's pace.
 			}
-			for id, load := range word.loads {
+			for id, load := range message.loads {
 				want[id] += load.Running
 			}
 		}
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -195,7 +195,7 @@
 	load := e.load()
 	cost := s.expected(e, fresh)
 	if s.group.reading(load.Pending+fresh) > pauseTime {
-		cost += time.Duration(load.Short) * harm
+		cost += time.Duration(load.Short) * pausePenalty
 	}
 
 	return cost
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -49,9 +49,9 @@
 	// postponeAt is the predicted time to the first token, in targets, from
 	// which on a long prompt is put off.
 	postponeAt = 1.0
-	// surge is about how long a backlog lasts beyond the time to read it; who
+	// surgeTime is about how long a backlog lasts beyond the time to read it; who
 	// comes back sooner mostly finds it there still.
-	surge = time.Second
+	surgeTime = time.Second
 	// fetchLeast is the prompt tokens from which on it pays to copy them from
 	// another engine's memory: a transfer has a set-up of some milliseconds.
 	fetchLeast = 512
@@ -66,9 +66,9 @@
 	// pauseTime is the time of reading beyond which streams pause for longer
 	// than they usually may: with the steps between, about 200 ms.
 	pauseTime = 140 * time.Millisecond
-	// harm is the time by which a long prompt is put off for each stream that
+	// pausePenalty is the time by which a long prompt is put off for each stream that
 	// it would hold up.
-	harm = 25 * time.Millisecond
+	pausePenalty = 25 * time.Millisecond
 	// remotePenalty is how many requests more the own data centre may run
 	// before another one is taken; a way there and back takes a few
 	// milliseconds, about what one more request in a batch costs.
