relayer, gossiper: Free the place of a large answer that breaks off, believe a restart after a clock step

Cause (both found by reading): a large answer that breaks off ends its handler by a panic before its try was recorded as ended, so that the endpoint looked busier for ever; an instance that starts again after its time of day went back had a lower incarnation and was ignored for a minute.

Change: the end of a try is recorded by a deferred call; a lower incarnation is ignored only while the higher one was heard in the last second.

The tests fail before (a load of one remains; the peer knows no endpoint).

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -223,7 +223,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[message.GetAddress()]
-	if m == nil || message.GetIncarnation() < m.incarnation {
+	if m == nil {
+		return false
+	}
+	// A machine's time of day may have gone back between two starts.
+	if message.GetIncarnation() < m.incarnation && now.Sub(m.heard) < rankFor {
 		return false
 	}
 	if m.incarnation != message.GetIncarnation() || m.leaving != message.GetLeaving() {
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -211,3 +211,29 @@
 		assert.Assert(t, heard >= 25, "%d of 30 know of the load", heard)
 	})
 }
+
+// An instance that starts again after its machine's time of day went back is
+// believed once its earlier start has fallen silent.
+func TestRestartAfterTheClockWentBack(t *testing.T) {
+	fleet(t, 2, func(t *testing.T, network *piper.Network, instances []instance, boot func() time.Duration) {
+		time.Sleep(2 * time.Second)
+		network.Stop("i1")
+		instances[1].stop()
+		time.Sleep(500 * time.Millisecond)
+		control := dispatcher.New(dispatcher.Settings{Name: "i1", KeyLease: keyLease}, dispatcher.Clock{Now: time.Now, Boot: boot}, hclog.NewNullLogger())
+		settings := gossiper.DefaultSettings()
+		settings.Name, settings.Address, settings.Incarnation, settings.Seeds = "i1", "i1:80", 0, []string{"i0:80"}
+		again := gossiper.New(settings, control, reader{}, network.Client(), meter.New(), hclog.NewNullLogger())
+		network.Serve("i1", again.Handler())
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = control.Serve(ctx) }()
+		go func() { _ = again.Serve(ctx) }()
+		control.Listed(boot(), []registrar.Endpoint{{ID: "e", Service: "s", Address: "e:80", Slots: 6}})
+		time.Sleep(3 * time.Second)
+		_, registry := instances[0].control.Known()
+		assert.Equal(t, len(registry.Endpoints), 1)
+		cancel()
+		<-again.Done()
+		<-control.Done()
+	})
+}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -66,18 +66,22 @@
 			return
 		}
 		j.placed(placement)
-		t := &trial{placement: placement}
-		j.try(ctx, t)
-		j.relayer.control.End(placement, t.result)
-		if t.done {
-			return
-		}
-		if !j.again(ctx, t) {
+		if t := j.attempt(ctx, placement); t.done || !j.again(ctx, t) {
 			return
 		}
 	}
 }
 
+// attempt makes one try. Its end is recorded also when it breaks the caller's
+// connection by a panic.
+func (j *job) attempt(ctx context.Context, placement dispatcher.Placement) *trial {
+	t := &trial{placement: placement}
+	defer func() { j.relayer.control.End(placement, t.result) }()
+	j.try(ctx, t)
+
+	return t
+}
+
 // placed logs what decided where a try goes.
 func (j *job) placed(p dispatcher.Placement) {
 	j.relayer.logger.Info("Placed.", "request", j.envelope.ID, "route", j.route.Name, "workspace", j.order.Workspace,
--- a/internal/relayer/attempt_test.go
+++ b/internal/relayer/attempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -187,3 +188,19 @@
 		assert.Assert(t, failed <= 4, "%d of 10 at the mute endpoint", failed)
 	})
 }
+
+// A large answer that breaks off breaks the caller's connection, and its place
+// at the endpoint is free again.
+func TestLargeAnswerThatBreaksOff(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		w.endpoints(func(answer http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(answer, strings.Repeat("x", 3<<20))
+			panic(http.ErrAbortHandler)
+		})
+		_, body, err := w.send(w.request(http.MethodPost, "/once/x", ""))
+		assert.Assert(t, err != nil, "a broken answer must not look complete")
+		assert.Assert(t, len(body) > 0)
+		time.Sleep(time.Second)
+		assert.Equal(t, len(w.control.Message().Loads), 0)
+	})
+}
