relayer: Keep the watch on a silent endpoint apart from its request's state

Cause: the timer read counts of the request that the request's own goroutine may change when a try ends at the same moment (found by reading; the race detector has not shown it). Change: what the timer needs is copied at its start. Five runs under the race detector pass.

--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -28,6 +28,8 @@
 type staller struct {
 	job       *job
 	placement dispatcher.Placement
+	service   string
+	attempt   retrier.Attempt // as it would be after this try
 	end       context.CancelCauseFunc
 	timer     *time.Timer
 	limit     time.Duration
@@ -38,14 +40,18 @@
 	if !j.route.Repeatable() || j.runs+1 >= j.route.Tries {
 		return nil
 	}
-	s := &staller{job: j, placement: placement, end: end, limit: silenceMost + placement.Expected}
+	s := &staller{
+		job: j, placement: placement, service: j.ask.Service, end: end, limit: silenceMost + placement.Expected,
+		attempt: retrier.Attempt{Ran: true, Repeatable: true, Runs: j.runs + 1, MostRuns: j.route.Tries, Refusals: j.refusals},
+	}
 	if j.route.Kind == matcher.Idempotent {
 		if j.route.Target <= 0 {
 			return nil
 		}
 		s.limit = time.Duration(float64(j.route.Target) * slowShare)
 	}
-	s.timer = time.AfterFunc(s.limit, s.check)
+	s.timer = time.AfterFunc(time.Hour, s.check)
+	s.timer.Reset(s.limit) // check uses the timer, which must be set by then.
 
 	return s
 }
@@ -64,7 +70,8 @@
 	}
 }
 
-// check ends the try, unless the endpoint is just busy with other streams.
+// check ends the try, unless the endpoint is just busy with other streams. It
+// runs beside the try, and reads of the job only what no longer changes.
 func (s *staller) check() {
 	j := s.job
 	if j.route.Kind == matcher.Streaming {
@@ -74,11 +81,8 @@
 			return
 		}
 	}
-	attempt := retrier.Attempt{
-		Ran: true, Repeatable: true, Runs: j.runs + 1, MostRuns: j.route.Tries,
-		Refusals: j.refusals, Remaining: time.Until(j.deadline),
-	}
-	if j.relayer.control.Repeat(j.ask.Service, attempt) != retrier.ReasonNone {
+	s.attempt.Remaining = time.Until(j.deadline)
+	if j.relayer.control.Repeat(s.service, s.attempt) != retrier.ReasonNone {
 		return
 	}
 	s.end(errStalled)
