placer: Leave a group of engines that crashed, spend nothing on what was not sent

Ruled out: quarantine, staleness, a full queue (none of their lines).

Change: the border is scaled to the engines that are usable; an endpoint that takes no connection is left at once; tries of which nothing was sent spend nothing and may be six. Prompts too long for their target by themselves are not put off. Log lines name the decision after a failed try and what put a prompt off.

The tests fail before (an engine that crashed already; 503 instead of 200).

--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -65,10 +65,11 @@
 	d.do(func() { d.placer.End(d.clock.Now(), placement.id, result) })
 }
 
-// Repeat decides whether an attempt may be repeated; a reason: it may not.
-func (d *Dispatcher) Repeat(service string, attempt retrier.Attempt) string {
+// Repeat decides whether an attempt may be repeated; a reason: it may not. What
+// was sent counts against the shared bound.
+func (d *Dispatcher) Repeat(service string, attempt retrier.Attempt, sent bool) string {
 	reason := attempt.Allowed()
-	if reason != retrier.ReasonNone {
+	if reason != retrier.ReasonNone || !sent {
 		return reason
 	}
 	d.do(func() {
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -140,7 +140,7 @@
 		time.Sleep(6 * time.Second)
 		repeats := 0
 		for _, i := range instances {
-			for i.control.Repeat("s", retrier.Attempt{MostRuns: 1, Remaining: time.Second}) == retrier.ReasonNone {
+			for i.control.Repeat("s", retrier.Attempt{MostRuns: 1, Remaining: time.Second}, true) == retrier.ReasonNone {
 				repeats++
 			}
 		}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -61,6 +61,7 @@
 			return
 		}
 		if placement.Later > 0 {
+			j.postponed(placement)
 			j.refuse(answerer.New(answerer.KindHopeless, "The engines are behind with prompts.").WithRetryAfter(placement.Later))
 
 			return
@@ -72,6 +73,13 @@
 	}
 }
 
+// postponed logs what decided that the request had better come back later.
+func (j *job) postponed(p dispatcher.Placement) {
+	j.relayer.logger.Info("Postponed.", "request", j.envelope.ID, "route", j.route.Name, "service", j.ask.Service,
+		"best endpoint", p.ID, "expected ms", p.Expected.Milliseconds(), "target ms", j.ask.Target.Milliseconds(),
+		"prompt", j.ask.Prompt, "fresh", p.Fresh, "border", p.Border, "engines", p.Engines)
+}
+
 // attempt makes one try. Its end is recorded also when it breaks the caller's
 // connection by a panic.
 func (j *job) attempt(ctx context.Context, placement dispatcher.Placement) *trial {
@@ -87,18 +95,22 @@
 	j.relayer.logger.Info("Placed.", "request", j.envelope.ID, "route", j.route.Name, "workspace", j.order.Workspace,
 		"tier", j.order.Tier, "service", j.ask.Service, "endpoint", p.ID, "remote", p.Remote, "prompt", j.ask.Prompt,
 		"fresh", p.Fresh, "copied from", p.Source, "long", p.Long, "border", p.Border, "engines", p.Engines,
-		"expected ms", p.Expected.Milliseconds(), "tries before", j.runs+j.refusals,
+		"expected ms", p.Expected.Milliseconds(), "tries before", j.runs+j.refusals+j.unsent,
 		"configuration", j.matcher.Number(), "left ms", time.Until(j.deadline).Milliseconds())
 }
 
 // again records how a try failed and decides whether there is another one. If
 // not, the caller gets the final answer.
 func (j *job) again(ctx context.Context, t *trial) bool {
-	if t.ran {
+	sent := !t.sent.IsZero()
+	switch {
+	case t.ran:
 		j.runs++
 		j.ran = true
-	} else {
+	case sent:
 		j.refusals++
+	default:
+		j.unsent++
 	}
 	j.ask.Avoid = append(j.ask.Avoid, t.placement.ID)
 	attempt := retrier.Attempt{
@@ -107,6 +119,7 @@
 		Runs:       j.runs,
 		MostRuns:   j.route.Tries,
 		Refusals:   j.refusals,
+		Unsent:     j.unsent,
 		Remaining:  time.Until(j.deadline),
 	}
 	reason := retrier.ReasonDeadline
@@ -116,22 +129,29 @@
 	case errors.Is(t.cause, errStalled):
 		reason = retrier.ReasonNone // It was taken from the bound already.
 	case ctx.Err() == nil:
-		reason = j.relayer.control.Repeat(j.ask.Service, attempt)
+		reason = j.relayer.control.Repeat(j.ask.Service, attempt, sent)
 	}
 	j.relayer.logger.Info("A try failed.", "request", j.envelope.ID, "route", j.route.Name, "endpoint", t.placement.ID,
-		"result", t.result.String(), "may have run", t.ran, "begun", j.begun, "runs", j.runs, "refusals", j.refusals,
-		"cause", causeText(t.cause), "stops by", reason)
+		"result", t.result.String(), "may have run", t.ran, "begun", j.begun, "runs", j.runs, "refusals", j.refusals, "unsent", j.unsent,
+		"cause", causeText(t.cause), "decision", decision(reason))
+	j.relayer.meter.Retried(decision(reason))
 	if reason == retrier.ReasonNone {
-		j.relayer.meter.Retried(retrier.ReasonRetry)
-
 		return true
 	}
-	j.relayer.meter.Retried(reason)
 	j.finish(ctx, j.kind(t))
 
 	return false
 }
 
+// decision names a reason not to repeat, or the repeat, for logs and counters.
+func decision(reason string) string {
+	if reason == retrier.ReasonNone {
+		return retrier.ReasonRetry
+	}
+
+	return reason
+}
+
 func causeText(err error) string {
 	if err == nil {
 		return "answer"
@@ -169,6 +189,9 @@
 			j.relayer.control.Down(t.placement)
 		}
 		j.broken(ctx, t, err)
+		if t.result == placer.Failed {
+			t.result = placer.Unreachable
+		}
 
 		return
 	}
--- a/internal/relayer/attempt_test.go
+++ b/internal/relayer/attempt_test.go
@@ -204,3 +204,26 @@
 		assert.Equal(t, len(w.control.Message().Loads), 0)
 	})
 }
+
+// Several endpoints that crashed at once take no connections: a request finds
+// the one that does, whichever it is, and what was never sent spends nothing of
+// the bound on repeats.
+func TestCrashedEndpointsArePassedOver(t *testing.T) {
+	const count = 6
+	for sound := range count {
+		play(t, func(t *testing.T, w *world) {
+			w.endpoints(ok, ok, ok, ok, ok, ok)
+			for i := range count {
+				if i != sound {
+					w.network.Stop(fmt.Sprintf("e%d", i))
+				}
+			}
+			for range 100 {
+				w.confirm()
+				response, _, err := w.send(w.request(http.MethodPost, "/once/x", ""))
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+			}
+		})
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -88,6 +88,7 @@
 	latest   time.Time     // event
 	runs     int
 	refusals int
+	unsent   int
 	ran      bool
 	failure  *failure
 }
--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -82,7 +82,7 @@
 		}
 	}
 	s.attempt.Remaining = time.Until(j.deadline)
-	if j.relayer.control.Repeat(s.service, s.attempt) != retrier.ReasonNone {
+	if j.relayer.control.Repeat(s.service, s.attempt, true) != retrier.ReasonNone {
 		return
 	}
 	s.end(errStalled)
--- a/pkg/placer/ask.go
+++ b/pkg/placer/ask.go
@@ -49,8 +49,10 @@
 	// Expected is the predicted time to the first token; zero at plain
 	// services.
 	Expected time.Duration
-	// Fresh is the prompt tokens that the engine will have to read.
-	Fresh int
+	// Fresh is the prompt tokens that the engine will have to read, Reading
+	// the part of Expected that this takes.
+	Fresh   int
+	Reading time.Duration
 	// Source is the address of an engine that holds more of the prompt and
 	// that the chosen one had better copy it from; empty: none.
 	Source string
@@ -76,13 +78,15 @@
 	Failed
 	// Misdirected means that another endpoint has the address.
 	Misdirected
+	// Unreachable is an endpoint that takes no connection.
+	Unreachable
 	// Canceled is a try that nobody waited for any more.
 	Canceled
 )
 
 // String returns the result as logs show it.
 func (r Result) String() string {
-	return [...]string{"finished", "refused", "failed", "misdirected", "canceled"}[r]
+	return [...]string{"finished", "refused", "failed", "misdirected", "unreachable", "canceled"}[r]
 }
 
 // Load is what one instance has at an endpoint.
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -75,6 +75,8 @@
 		e.alive = now
 	case Misdirected:
 		e.wrong = true
+	case Unreachable:
+		e.eject(now)
 	case Failed:
 		e.share += failureMemory * (1 - e.share)
 		e.failures++
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -102,12 +102,18 @@
 
 // Postpone decides whether a request that has a choice had better come back
 // later, and after what time. Where a backlog makes every long prompt late, the
-// ones that are put off let the others be on time.
+// ones that are put off let the others be on time. One that is too long for its
+// target by itself gains nothing by coming back, and waits for its turn unless
+// the backlog alone is over the target.
 func (p *Placer) Postpone(ask Ask, choice Choice) (time.Duration, bool) {
 	if ask.Target <= 0 || !choice.Long || len(ask.Avoid) > 0 {
 		return 0, false
 	}
-	if choice.Expected <= time.Duration(float64(ask.Target)*postponeAt) {
+	wait := choice.Expected
+	if choice.Reading >= ask.Target {
+		wait -= choice.Reading
+	}
+	if wait <= ask.Target {
 		return 0, false
 	}
 
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -318,3 +318,41 @@
 		}
 	})
 }
+
+// A prompt that is too long for its target even at an idle engine is not sent
+// away: it would be too long the next time as well.
+func TestPromptOverItsTargetIsNotPutOff(t *testing.T) {
+	p := newPlacer("a", engines(2))
+	ask := long(1, 1)
+	ask.Prompt = 40_000
+	choice := pick(t, p, start, ask)
+	assert.Assert(t, choice.Expected > ask.Target)
+	_, postponed := p.Postpone(ask, choice)
+	assert.Assert(t, !postponed)
+	for id := range uint64(10) { // A backlog puts it off like any other.
+		p.Start(start, id, choice, ask)
+	}
+	_, postponed = p.Postpone(ask, pick(t, p, start, ask))
+	assert.Assert(t, postponed)
+}
+
+// When all engines of a group crash, its prompts go to engines that live.
+func TestCrashedGroupIsReplaced(t *testing.T) {
+	for name, ask := range map[string]placer.Ask{"short": short(), "long": long(1, 1)} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer("b", engines(9))
+			p.Heard(start, "a", nil, map[string]placer.Demand{"llm": {Short: 1, Long: 1, Border: 4, Engines: 9}})
+			crashed := map[string]bool{}
+			for id := range uint64(5) {
+				choice := pick(t, p, start, ask)
+				assert.Assert(t, !crashed[choice.ID], "engine %s crashed already", choice.ID)
+				crashed[choice.ID] = true
+				p.Start(start, id, choice, ask)
+				p.End(start, id, placer.Unreachable)
+			}
+			for range 10 {
+				assert.Assert(t, !crashed[pick(t, p, start, ask).ID])
+			}
+		})
+	}
+}
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -92,11 +93,12 @@
 func (s *search) engine() Choice {
 	long := s.ask.Prompt >= s.group.long
 	border := s.group.border(s.now, len(s.open))
+	first := s.scaled(border)
 	var e *endpoint
 	if long {
-		e = s.familiar(s.usable(s.open[border:]))
+		e = s.familiar(s.candidates[first:])
 	} else {
-		e = s.quietest(s.spare(s.usable(s.open[:border])))
+		e = s.quietest(s.spare(s.candidates[:first]))
 	}
 	if e == nil {
 		e = s.quietest(s.candidates)
@@ -109,11 +111,23 @@
 
 	return Choice{
 		Source: address(source),
-		ID:     e.ID, Address: e.Address, Expected: s.expected(e, fresh), Fresh: fresh, Long: long,
+		ID:     e.ID, Address: e.Address, Expected: s.expected(e, fresh), Fresh: fresh, Reading: s.group.reading(fresh), Long: long,
 		Remote: e.DataCentre != s.dataCentre, Border: border, Engines: len(s.open),
 	}
 }
 
+// scaled returns the border among the candidates, so that neither group is left
+// with none but engines that crashed.
+func (s *search) scaled(border int) int {
+	n := len(s.candidates)
+	if n < 2 || len(s.open) < 2 {
+		return n
+	}
+	part := float64(border) * float64(n) / float64(len(s.open))
+
+	return min(n-1, max(1, int(math.Round(part))))
+}
+
 // source returns an engine that holds so much more of the prompt than e that e
 // had better copy it; nil: there is none.
 func (s *search) source(e *endpoint) *endpoint {
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -46,9 +46,6 @@
 	shortMost = 0.7
 	// leadFor is how long the border that another instance told holds.
 	leadFor = time.Second
-	// postponeAt is the predicted time to the first token, in targets, from
-	// which on a long prompt is put off.
-	postponeAt = 1.0
 	// surgeTime is about how long a backlog lasts beyond the time to read it; who
 	// comes back sooner mostly finds it there still.
 	surgeTime = time.Second
--- a/pkg/retrier/attempt.go
+++ b/pkg/retrier/attempt.go
@@ -11,8 +11,11 @@
 	Repeatable bool
 	// Runs is the tries that may have run, of at most MostRuns.
 	Runs, MostRuns int
-	// Refusals is the tries that certainly did not run.
+	// Refusals is the tries that endpoints refused to run.
 	Refusals int
+	// Unsent is the tries of which nothing was sent, as when an endpoint
+	// takes no connection. They spend nothing of the shared bound.
+	Unsent int
 	// Remaining is the time left.
 	Remaining time.Duration
 }
@@ -21,6 +24,9 @@
 	// mostRefusals bounds how often one request is offered to endpoints that
 	// refuse it.
 	mostRefusals = 3
+	// mostUnsent bounds how often one request finds an endpoint that takes no
+	// connection.
+	mostUnsent = 6
 	// leastRemaining is the time below which another try is of no use.
 	leastRemaining = 20 * time.Millisecond
 )
@@ -37,7 +43,7 @@
 	switch {
 	case a.Remaining < leastRemaining:
 		return ReasonDeadline
-	case a.Refusals >= mostRefusals:
+	case a.Refusals >= mostRefusals || a.Unsent >= mostUnsent:
 		return ReasonRefusals
 	case a.Runs == 0 && !a.Ran:
 		return ReasonNone
--- a/pkg/retrier/window_test.go
+++ b/pkg/retrier/window_test.go
@@ -66,6 +66,8 @@
 	}{
 		"certainly not run":           {retrier.Attempt{Refusals: 1, MostRuns: 1, Remaining: left}, retrier.ReasonNone},
 		"refused often":               {retrier.Attempt{Refusals: 3, MostRuns: 2, Remaining: left}, retrier.ReasonRefusals},
+		"never sent":                  {retrier.Attempt{Unsent: 5, MostRuns: 1, Remaining: left}, retrier.ReasonNone},
+		"never sent, often":           {retrier.Attempt{Unsent: 6, MostRuns: 1, Remaining: left}, retrier.ReasonRefusals},
 		"may have run":                {retrier.Attempt{Ran: true, Runs: 1, MostRuns: 2, Remaining: left}, retrier.ReasonMayHaveRun},
 		"may have run, then refused":  {retrier.Attempt{Ran: true, Runs: 1, Refusals: 1, MostRuns: 2, Remaining: left}, retrier.ReasonMayHaveRun},
 		"repeatable":                  {retrier.Attempt{Ran: true, Repeatable: true, Runs: 1, MostRuns: 2, Remaining: left}, retrier.ReasonNone},
