dispatcher: Let the freshener alone decide whether keys pass

Cause: the dispatcher kept the lease's lifetime and its end a second time and compared by itself, without the freshener's check for a clock that went back; with a clock that cannot be read (0) keys passed for ever, against clock.Boot's comment.

Change: traffic reads a copy of the freshener and asks it. An unused method of the connector goes. The new case fails before: 200 instead of 503.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -234,18 +234,6 @@
 	return fallback, true
 }
 
-// Forget closes the idle connections to an address, as after one of them was
-// found dead.
-func (c *Connector) Forget(address string) {
-	c.mu.Lock()
-	kept := c.idle[address]
-	delete(c.idle, address)
-	c.mu.Unlock()
-	for _, conn := range kept {
-		conn.Close()
-	}
-}
-
 // Sweep closes idle connections that will not be used again.
 func (c *Connector) Sweep() {
 	now := time.Now()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -56,13 +56,12 @@
 	// started is closed when configuration and endpoints are known.
 	started chan struct{}
 
-	current    atomic.Pointer[matcher.Matcher]
-	instances  atomic.Int64
-	freshUntil atomic.Int64 // boot time
+	current   atomic.Pointer[matcher.Matcher]
+	instances atomic.Int64
+	fresh     atomic.Pointer[freshener.Freshener] // a copy of lease, for traffic
 
 	// The rest belongs to the control goroutine.
 	lease    *freshener.Freshener
-	lifetime time.Duration
 	registry *registrar.Registrar
 	placer   *placer.Placer
 	retries  *retrier.Window
@@ -86,7 +85,6 @@
 		done:     make(chan struct{}),
 		started:  make(chan struct{}),
 		lease:    freshener.New(settings.KeyLease),
-		lifetime: settings.KeyLease,
 		registry: registrar.New(registrar.Settings{Return: settings.Return, Outage: outage}),
 		placer:   placer.New(placer.Settings{Name: settings.Name, DataCentre: settings.DataCentre}),
 		retries:  retrier.NewWindow(settings.Retries),
@@ -163,7 +161,9 @@
 
 // Fresh reports whether keys may pass.
 func (d *Dispatcher) Fresh() bool {
-	return int64(d.clock.Boot()) < d.freshUntil.Load()
+	lease := d.fresh.Load()
+
+	return lease != nil && lease.Fresh(d.clock.Boot())
 }
 
 // Ready reports whether the instance can serve.
--- a/internal/dispatcher/knowledge.go
+++ b/internal/dispatcher/knowledge.go
@@ -47,9 +47,8 @@
 // confirm renews the lease on what is known.
 func (d *Dispatcher) confirm(at time.Duration) {
 	d.lease.Confirm(at)
-	if age, known := d.lease.Age(at); known {
-		d.freshUntil.Store(int64(at - age + d.lifetime))
-	}
+	lease := *d.lease
+	d.fresh.Store(&lease)
 }
 
 // Listed takes in the whole registry of endpoints, read by a call sent at the
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -53,6 +53,7 @@
 	for name, age := range map[string]func(*world){
 		"cut off":   func(*world) { time.Sleep(keyLease) },
 		"suspended": func(w *world) { w.skipped += keyLease },
+		"no clock":  func(w *world) { w.boot = func() time.Duration { return 0 } },
 	} {
 		t.Run(name, func(t *testing.T) {
 			play(t, func(t *testing.T, w *world) {
