drainer, relayrunner: Take callers until a planned stop ends

The listener closed 3 s after SIGTERM, while the balancer, with too few other instances, still sent callers, and a connection whose first packet was lost came 200 ms later. Slow instances also closed idle connections whose request they had not read yet.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -21,9 +21,9 @@
 	// startWait is about the time in which an instance that starts reads its
 	// configuration.
 	startWait = 300 * time.Millisecond
-	// staleWait is the time in which the balancer's callers reach another
+	// elsewhereWait is the time in which the balancer's callers reach another
 	// instance.
-	staleWait = 100 * time.Millisecond
+	elsewhereWait = 100 * time.Millisecond
 	// heldWait is the time in which a crashed endpoint starts again.
 	heldWait = 10 * time.Second
 	// fullWait is about the time in which a full endpoint ends some requests.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -47,6 +47,7 @@
 	logger    hclog.Logger
 	random    func() uint64
 	leaving   atomic.Bool
+	end       atomic.Pointer[time.Time] // of the instance; nil: not known
 	inFlight  atomic.Int64
 }
 
@@ -60,6 +61,11 @@
 	r.leaving.Store(true)
 }
 
+// Finish refuses requests that may take longer than to the instance's end.
+func (r *Relayer) Finish(end time.Time) {
+	r.end.Store(&end)
+}
+
 // InFlight returns the number of requests without a final answer.
 func (r *Relayer) InFlight() int64 {
 	return r.inFlight.Load()
@@ -132,6 +138,9 @@
 		return err
 	}
 	j.limit()
+	if end := j.relayer.end.Load(); end != nil && j.deadline.After(*end) {
+		return answerer.New(answerer.KindStopping, "The instance stops.").WithRetryAfter(elsewhereWait)
+	}
 	if err := j.read(); err != nil {
 		return err
 	}
@@ -185,7 +194,7 @@
 func (j *job) stale() *answerer.Error {
 	j.w.Header().Set("Connection", "close")
 
-	return answerer.New(answerer.KindStoreDown, "The configuration cannot be confirmed.").WithRetryAfter(staleWait)
+	return answerer.New(answerer.KindStoreDown, "The configuration cannot be confirmed.").WithRetryAfter(elsewhereWait)
 }
 
 // identify finds the workspace of the request's key.
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -25,6 +25,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/relayer"
 	"github.com/oleanderpick/oleanderpick/internal/storer"
 	"github.com/oleanderpick/oleanderpick/internal/watcher"
+	"github.com/oleanderpick/oleanderpick/pkg/drainer"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
 )
 
@@ -42,8 +43,14 @@
 	// noticed is the time after which the balancer, which asks once a second
 	// and believes the second answer, sends no new connections.
 	noticed = 3 * time.Second
-	// stopMargin is kept of the stop limit for the end of the process.
-	stopMargin = 700 * time.Millisecond
+	// quiet is the time without a new connection after which none is on its way;
+	// a lost packet comes again after 200 ms and somewhat more.
+	quiet = 400 * time.Millisecond
+	// stopMargin is kept of the stop limit for the end of the process, which
+	// takes some 50 ms.
+	stopMargin = 400 * time.Millisecond
+	// stopInterval is how often a stopping instance looks whether it may end.
+	stopInterval = 50 * time.Millisecond
 	// peerIdle is how long a connection between instances stays idle.
 	peerIdle = 20 * time.Second
 	// sweepInterval is how often idle connections are looked through.
@@ -277,7 +284,7 @@
 	r.leaving.Store(true)
 	r.relayer.Leave()
 	r.gossip.Leave()
-	time.Sleep(min(noticed, limit))
+	r.drain(begun, limit)
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(limit))
 	defer cancel()
 	if err := r.callers.Shutdown(ctx); err != nil {
@@ -288,3 +295,23 @@
 	_ = r.peers.Close()
 	_ = r.metrics.Close()
 }
+
+// drain serves on until the stop may end.
+func (r *Runner) drain(begun time.Time, limit time.Duration) {
+	settings := drainer.Settings{Noticed: noticed, Quiet: quiet, Limit: limit}
+	ticker := time.NewTicker(stopInterval)
+	defer ticker.Stop()
+	for now := begun; ; now = <-ticker.C {
+		step := settings.Next(drainer.Progress{
+			Since: now.Sub(begun), InFlight: r.relayer.InFlight(), SinceOpened: now.Sub(r.idlers.lastOpened()),
+		})
+		switch step {
+		case drainer.Finish:
+			r.relayer.Finish(begun.Add(limit))
+			r.idlers.closeAll()
+		case drainer.End:
+			return
+		case drainer.Serve:
+		}
+	}
+}
