placer, relayer, connector: Leave engines whose streams have all stopped

Streams whose callers left did not count as failures of the engine.

Change: an engine with two streams or more that is silent for 450 ms, or with one for 1 s, gets nothing new until something comes; a begun stream that ends in silence is a failure; idle connections to it are closed; connections are opened within 200 ms instead of 500 ms, since a lost first packet is sent again after seconds. Streams tell every 100 ms instead of 250 ms that they live.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -56,7 +56,7 @@
 // delay that lose some packets.
 func DefaultSettings() Settings {
 	return Settings{
-		Dial:           500 * time.Millisecond,
+		Dial:           200 * time.Millisecond,
 		Unacknowledged: 1500 * time.Millisecond,
 		KeepAlive:      2 * time.Second,
 		IdleTimeout:    4 * time.Second,
@@ -234,6 +234,19 @@
 	return fallback, true
 }
 
+// Forget closes the idle connections to an address that has fallen silent: one
+// that is opened anew shows whether the endpoint is there before a request is
+// sent.
+func (c *Connector) Forget(address string) {
+	c.mu.Lock()
+	kept := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, conn := range kept {
+		conn.Close()
+	}
+}
+
 // Sweep closes idle connections that will not be used again.
 func (c *Connector) Sweep() {
 	now := time.Now()
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -148,3 +148,12 @@
 		assert.Equal(t, kept, 2)
 	})
 }
+
+// An endpoint that fell silent may be gone: what is kept to it is not used again.
+func TestForgottenConnectionsAreNotUsedAgain(t *testing.T) {
+	play(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, links *connector.Connector) {
+		first := exchange(t, links)
+		links.Forget("e0:80")
+		assert.Assert(t, exchange(t, links) != first)
+	})
+}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -233,6 +233,9 @@
 	if t.ran && t.result == placer.Failed && !stalled {
 		j.relayer.control.Broke(t.placement, j.fingerprint())
 	}
+	if t.result == placer.Failed && (errors.Is(cause, syscall.ETIMEDOUT) || j.silent(t)) {
+		j.relayer.endpoints.Forget(t.placement.Address)
+	}
 	if t.conn != nil {
 		t.conn.Close()
 	}
@@ -241,8 +244,13 @@
 // silent reports whether the endpoint gave no sign of life, on any request, for
 // so long that it counts as failed although nobody waits any more.
 func (j *job) silent(t *trial) bool {
-	waited := time.Since(t.sent)
-	return t.ran && t.response == nil && waited >= silentFor && j.relayer.control.Silence(t.placement) >= waited
+	heard := t.sent
+	if j.latest.After(heard) {
+		heard = j.latest
+	}
+	waited := time.Since(heard)
+
+	return t.ran && waited >= silentFor && j.relayer.control.Silence(t.placement) >= waited
 }
 
 // fingerprint names what the request asks for, by whom.
--- a/internal/relayer/attempt_test.go
+++ b/internal/relayer/attempt_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -227,3 +230,22 @@
 		})
 	}
 }
+
+// An engine that goes dark in the middle of its streams has failed, although it
+// was their callers who left: it is not taken for the next ones.
+func TestEndpointThatGoesDarkInAStreamIsLeftAlone(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		var dark atomic.Int64
+		w.endpoints(events(3, func(io.Writer) { dark.Add(1); time.Sleep(time.Hour) }), events(5, nil))
+		for range 10 {
+			w.confirm()
+			ctx, leave := context.WithTimeout(t.Context(), 2*time.Second)
+			response, _, err := w.send(w.request(http.MethodPost, "/stream/x", "prompt").WithContext(ctx))
+			leave()
+			assert.Assert(t, err != nil || response.StatusCode == http.StatusOK)
+			synctest.Wait()
+		}
+		assert.Assert(t, dark.Load() <= 3, "%d of 10 at the dark endpoint", dark.Load())
+		time.Sleep(time.Hour)
+	})
+}
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -15,7 +15,7 @@
 )
 
 // aliveInterval is how often a stream tells that its endpoint lives.
-const aliveInterval = 250 * time.Millisecond
+const aliveInterval = 100 * time.Millisecond
 
 func eventStream(header http.Header) bool {
 	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -22,7 +22,8 @@
 	until    time.Time
 	refused  time.Time
 	wrong    bool // another endpoint has its address
-	alive    time.Time
+	alive    time.Time // when something last came from it
+	streams  int       // own requests that have begun
 }
 
 // reading is the shared parts of a prompt that the engine read.
@@ -55,7 +56,18 @@
 
 // willing reports whether the endpoint is expected to take a request.
 func (e *endpoint) willing(now time.Time) bool {
-	return !now.Before(e.refused) && !now.Before(e.until)
+	return !now.Before(e.refused) && !now.Before(e.until) && !e.silent(now)
+}
+
+// silent reports whether nothing comes from the endpoint although streams run
+// there, longer than one lost packet or one long prompt explains.
+func (e *endpoint) silent(now time.Time) bool {
+	limit := silentOne
+	if e.streams > 1 {
+		limit = silentAll
+	}
+
+	return e.streams > 0 && now.Sub(e.alive) > limit
 }
 
 // load is what runs at the endpoint, as far as is known.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -152,6 +152,7 @@
 	r.begun = true
 	r.endpoint.own.Pending -= r.fresh
 	r.endpoint.alive = now
+	r.endpoint.streams++
 	r.group.observe(r.fresh+r.ahead, now.Sub(r.started))
 }
 
@@ -162,6 +163,13 @@
 	}
 }
 
+// Silent reports whether an endpoint's streams have all stopped.
+func (p *Placer) Silent(now time.Time, id string) bool {
+	e := p.endpoints[id]
+
+	return e != nil && e.silent(now)
+}
+
 // LastAlive returns when something last came from an endpoint; zero: never.
 func (p *Placer) LastAlive(id string) time.Time {
 	if e := p.endpoints[id]; e != nil {
@@ -179,7 +187,9 @@
 	}
 	delete(p.requests, id)
 	r.endpoint.own.Running--
-	if !r.begun {
+	if r.begun {
+		r.endpoint.streams--
+	} else {
 		r.endpoint.own.Pending -= r.fresh
 	}
 	if r.ask.Prompt > 0 && !r.long {
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -356,3 +356,47 @@
 		})
 	}
 }
+
+// An engine that goes dark keeps its connections: nothing fails there for a
+// second or two. New requests stay away as soon as none of its streams gives an
+// event, and come back with the first one.
+func TestEngineWhoseStreamsAllStopGetsNothingNew(t *testing.T) {
+	p := newPlacer("a", engines(2))
+	placed := map[string][]uint64{}
+	for id := range uint64(6) {
+		choice := pick(t, p, start, short())
+		p.Start(start, id, choice, short())
+		p.First(start, id)
+		placed[choice.ID] = append(placed[choice.ID], id)
+	}
+	dark := pick(t, p, start, short()).ID
+	now := start
+	for range 12 { // 600 ms in which the others give events.
+		now = now.Add(50 * time.Millisecond)
+		for engine, ids := range placed {
+			if engine != dark {
+				p.Alive(now, ids[0])
+			}
+		}
+	}
+	for id := range uint64(20) {
+		choice := pick(t, p, now, short())
+		assert.Assert(t, choice.ID != dark)
+		p.Start(now, 100+id, choice, short())
+	}
+	p.Alive(now, placed[dark][0])
+	assert.Equal(t, pick(t, p, now, short()).ID, dark)
+}
+
+// A single stream may pause for a lost packet: that alone is no reason to leave
+// an engine.
+func TestPauseOfOneStreamIsNoSilence(t *testing.T) {
+	p := newPlacer("a", engines(1))
+	choice := pick(t, p, start, short())
+	p.Start(start, 1, choice, short())
+	p.First(start, 1)
+	assert.Assert(t, !p.Silent(start.Add(500*time.Millisecond), choice.ID))
+	assert.Assert(t, p.Silent(start.Add(1100*time.Millisecond), choice.ID))
+	p.End(start.Add(2*time.Second), 1, placer.Canceled)
+	assert.Assert(t, !p.Silent(start.Add(3*time.Second), choice.ID), "nothing runs there that could be heard")
+}
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -73,6 +73,12 @@
 	// refusedFor is how long an endpoint that refused for want of room is
 	// passed over.
 	refusedFor = 150 * time.Millisecond
+	// silentAll is the silence of several streams from which on their endpoint
+	// gets nothing new: they pause together for at most four steps that read a
+	// chunk, some 200 ms, are heard every 100 ms, and do not all lose packets.
+	silentAll = 450 * time.Millisecond
+	// silentOne is that of a single stream, which may lose packets twice.
+	silentOne = time.Second
 	// ejectAfter is the number of failures in a row that eject an endpoint.
 	ejectAfter = 2
 	// ejectFor is the first ejection; it doubles with each in a row.
