--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -21,7 +21,7 @@
 	ejected  int     // ejections in a row
 	until    time.Time
 	refused  time.Time
-	wrong    bool // another endpoint has its address
+	wrong    bool      // another endpoint has its address
 	alive    time.Time // when something last came from it
 	streams  int       // own requests that have begun
 }
