reloader, relayrunner, retrier: Take in settings that change without a signal

Cause: the platform may change the settings file without SIGHUP, and all but the seeds waited for the next start: a shorter key lease, for one, did not hold. Reading the window of repeats for this showed that it counted by the time of day, which may jump: a jump forward forgot repeats of the last ten seconds.

Ruled out: watching the file (inotify is not to be had on the machines); its modification time alone (a file that is replaced may keep it).

Change: a reloader, generic over the settings, reads every two seconds and at SIGHUP and applies what differs; lease, return time, bounds on repeats, stop limit and memory hold at once. A changed window keeps its repeats. The window counts by differences of times.

--- a/internal/commands/relay.go
+++ b/internal/commands/relay.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/oleanderpick/oleanderpick/internal/common/flagger"
+	"github.com/oleanderpick/oleanderpick/internal/common/reloader"
 	"github.com/oleanderpick/oleanderpick/internal/common/spooler"
 	"github.com/oleanderpick/oleanderpick/internal/configurer"
 	"github.com/oleanderpick/oleanderpick/internal/relayrunner"
@@ -45,13 +46,10 @@
 		Codec:     platform.Headers{},
 		ReadyPath: platform.ReadyPath,
 	}, logger)
-	reloads(func() {
-		if reloaded, err := c.relaySettings(arguments); err != nil {
-			logger.Error("Settings are not reloaded.", "error", err)
-		} else {
-			runner.Reload(reloaded)
-		}
-	})
+	again := reloader.New(reloader.DefaultInterval, settings,
+		func() (configurer.Relay, error) { return c.relaySettings(arguments) }, runner.Reload, logger.Named("reloader"))
+	runner.Add(again)
+	reloads(again.Prompt)
 	if err := runner.Run(stop); err != nil {
 		logger.Error("Instance failed.", "error", err)
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -93,6 +93,16 @@
 	}
 }
 
+// Configure takes new limits. The name and the data centre stay.
+func (d *Dispatcher) Configure(settings Settings) {
+	d.do(func() {
+		d.lease.Limit(settings.KeyLease)
+		d.share()
+		d.registry.Configure(registrar.Settings{Return: settings.Return, Outage: outage})
+		d.retries.Configure(d.clock.Now(), settings.Retries)
+	})
+}
+
 // String returns the name that the supervisor logs.
 func (d *Dispatcher) String() string {
 	return "dispatcher"
--- a/internal/dispatcher/knowledge.go
+++ b/internal/dispatcher/knowledge.go
@@ -47,6 +47,11 @@
 // confirm renews the lease on what is known.
 func (d *Dispatcher) confirm(at time.Duration) {
 	d.lease.Confirm(at)
+	d.share()
+}
+
+// share gives traffic a copy of the lease.
+func (d *Dispatcher) share() {
 	lease := *d.lease
 	d.fresh.Store(&lease)
 }
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -90,9 +90,11 @@
 	peers    *http.Server
 	metrics  *http.Server
 	leaving  atomic.Bool
-	serving  chan struct{}
-	opened   addresses
-	done     chan struct{}
+	// stopLimit is the longest time of a planned stop, in nanoseconds.
+	stopLimit atomic.Int64
+	serving   chan struct{}
+	opened    addresses
+	done      chan struct{}
 }
 
 // addresses are what the instance listens on.
@@ -102,20 +104,11 @@
 
 // New puts the parts together. Run starts them.
 func New(settings configurer.Relay, platform Platform, logger hclog.Logger) *Runner {
-	if settings.Memory > 0 {
-		debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare * (1 << 20)))
-	}
+	limitMemory(settings.Memory)
 	counters := meter.New()
 	r := &Runner{settings: settings, logger: logger.Named("runner"), serving: make(chan struct{}), done: make(chan struct{})}
-	r.control = dispatcher.New(dispatcher.Settings{
-		Name:       settings.Name,
-		DataCentre: settings.DataCentre,
-		KeyLease:   settings.KeyLease - leaseMargin,
-		Return:     settings.EndpointReturn,
-		Retries: retrier.WindowSettings{
-			Length: settings.RetryWindow, Share: settings.RetryShare, Burst: settings.RetryBurst,
-		},
-	}, dispatcher.Clock{Now: time.Now, Boot: clock.Boot}, logger.Named("dispatcher"))
+	r.stopLimit.Store(int64(settings.StopLimit))
+	r.control = dispatcher.New(limits(settings), dispatcher.Clock{Now: time.Now, Boot: clock.Boot}, logger.Named("dispatcher"))
 	r.links = connector.New(connector.DefaultSettings(), connector.NewDial(connector.DefaultSettings()))
 	r.relayer = relayer.New(platform.Codec, r.control, r.links, counters, logger.Named("relayer"), rand.Uint64)
 	store := storer.New(settings.Platform, &http.Client{Transport: storeTransport()}).
@@ -197,11 +190,42 @@
 	return mux
 }
 
-// Reload takes in what may change while the instance runs: the seeds. The rest
-// holds from the next start.
+// Add adds a service to the supervisor tree.
+func (r *Runner) Add(service suture.Service) {
+	r.tree.Add(service)
+}
+
+// Reload takes in new settings: the seeds and all limits. Names and addresses
+// hold from the next start.
 func (r *Runner) Reload(settings configurer.Relay) {
 	r.gossip.Meet(settings.PeerAddresses())
-	r.logger.Info("Settings are reloaded.", "seeds", settings.Seeds)
+	r.control.Configure(limits(settings))
+	limitMemory(settings.Memory)
+	r.stopLimit.Store(int64(settings.StopLimit))
+	r.logger.Info("Settings are reloaded.", "seeds", settings.Seeds, "key lease", settings.KeyLease.String(),
+		"retry share", settings.RetryShare, "retry burst", settings.RetryBurst, "stop limit", settings.StopLimit.String(),
+		"name from the next start", settings.Name)
+}
+
+// limits are the control state's.
+func limits(settings configurer.Relay) dispatcher.Settings {
+	return dispatcher.Settings{
+		Name:       settings.Name,
+		DataCentre: settings.DataCentre,
+		KeyLease:   settings.KeyLease - leaseMargin,
+		Return:     settings.EndpointReturn,
+		Retries: retrier.WindowSettings{
+			Length: settings.RetryWindow, Share: settings.RetryShare, Burst: settings.RetryBurst,
+		},
+	}
+}
+
+// limitMemory has the collector keep within a share of the process's megabytes;
+// 0: no limit.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(float64(megabytes) * memoryShare * (1 << 20)))
+	}
 }
 
 // Run serves until ctx ends, then stops as planned: new connections go
@@ -279,7 +303,7 @@
 // stop ends what runs.
 func (r *Runner) stop() {
 	begun := time.Now()
-	limit := r.settings.StopLimit - stopMargin
+	limit := time.Duration(r.stopLimit.Load()) - stopMargin
 	r.logger.Info("Stopping.", "in flight", r.relayer.InFlight())
 	r.leaving.Store(true)
 	r.relayer.Leave()
--- a/pkg/freshener/freshener.go
+++ b/pkg/freshener/freshener.go
@@ -24,6 +24,11 @@
 	return &Freshener{lifetime: lifetime}
 }
 
+// Limit changes how long knowledge is good.
+func (f *Freshener) Limit(lifetime time.Duration) {
+	f.lifetime = lifetime
+}
+
 // Confirm takes in that a read that was sent at the given time confirmed what
 // is known. Older confirmations change nothing.
 func (f *Freshener) Confirm(sent time.Duration) {
--- a/pkg/freshener/freshener_test.go
+++ b/pkg/freshener/freshener_test.go
@@ -35,6 +35,16 @@
 	assert.Assert(t, !lease.Fresh(9*time.Second), "the clock went back")
 }
 
+// A shorter lifetime holds for what was confirmed before.
+func TestShorterLifetimeHoldsAtOnce(t *testing.T) {
+	lease := freshener.New(5 * time.Second)
+	lease.Confirm(10 * time.Second)
+	assert.Assert(t, lease.Fresh(13*time.Second))
+	lease.Limit(2 * time.Second)
+	assert.Assert(t, !lease.Fresh(13*time.Second))
+	assert.Assert(t, lease.Fresh(11*time.Second))
+}
+
 var pace = freshener.Pace{
 	Young: 450 * time.Millisecond, Old: 1100 * time.Millisecond,
 	Retry: 150 * time.Millisecond, RetryOthers: 500 * time.Millisecond, Readers: 2,
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -56,6 +56,11 @@
 	return &Registrar{settings: settings, entries: map[string]Endpoint{}, missing: map[string]bool{}}
 }
 
+// Configure takes new limits.
+func (r *Registrar) Configure(settings Settings) {
+	r.settings = settings
+}
+
 // Reached takes in that the registry answered.
 func (r *Registrar) Reached(now time.Time) {
 	if r.listed && now.Sub(r.reached) > r.settings.Outage {
--- a/pkg/retrier/window.go
+++ b/pkg/retrier/window.go
@@ -25,6 +25,7 @@
 // configuration, which bounds the state.
 type Window struct {
 	settings  WindowSettings
+	begun     time.Time
 	instances int
 	services  map[string]*counts
 }
@@ -41,6 +42,25 @@
 	return &Window{settings: settings, instances: 1, services: map[string]*counts{}}
 }
 
+// Configure takes new bounds. Repeats of the window before count in the new one
+// as if they were made now, so that no change lets more of them pass.
+func (w *Window) Configure(now time.Time, settings WindowSettings) {
+	resized := settings.Length != w.settings.Length
+	w.settings = settings
+	if !resized {
+		return
+	}
+	for service, old := range w.services {
+		delete(w.services, service)
+		repeats := 0.0
+		for _, made := range old.repeats {
+			repeats += made
+		}
+		c := w.counts(now, service)
+		c.repeats[c.step%windowSteps] = repeats
+	}
+}
+
 // Shared tells how many instances spend from the bound.
 func (w *Window) Shared(instances int) {
 	w.instances = max(1, instances)
@@ -76,7 +96,11 @@
 		c = &counts{}
 		w.services[service] = c
 	}
-	step := now.UnixNano() / max(1, int64(w.settings.Length)/windowSteps)
+	// The difference of two times leaves out jumps of the time of day.
+	if w.begun.IsZero() {
+		w.begun = now
+	}
+	step := int64(now.Sub(w.begun)) / max(1, int64(w.settings.Length)/windowSteps)
 	for i := max(c.step+1, step-windowSteps+1); i <= step; i++ {
 		c.first[i%windowSteps], c.repeats[i%windowSteps] = 0, 0
 	}
--- a/pkg/retrier/window_test.go
+++ b/pkg/retrier/window_test.go
@@ -77,3 +77,24 @@
 		t.Run(name, func(t *testing.T) { assert.Equal(t, test.attempt.Allowed(), test.want) })
 	}
 }
+
+// New bounds hold at once, and a change of the window's length forgets no
+// repeats.
+func TestChangedBoundsHoldAtOnce(t *testing.T) {
+	settings := retrier.WindowSettings{Length: 10 * time.Second, Burst: 10}
+	w := retrier.NewWindow(settings)
+	now := time.Unix(1000, 0)
+	for range 8 { // Four fifths of the burst are used.
+		assert.Assert(t, w.Repeat(now, "llm"))
+	}
+	settings.Length = 5 * time.Second
+	w.Configure(now, settings)
+	assert.Assert(t, !w.Repeat(now.Add(4*time.Second), "llm"))
+	settings.Burst = 20
+	w.Configure(now, settings)
+	assert.Assert(t, w.Repeat(now.Add(4*time.Second), "llm"))
+	settings.Burst = 5
+	w.Configure(now, settings)
+	assert.Assert(t, !w.Repeat(now.Add(4*time.Second), "llm"))
+	assert.Assert(t, w.Repeat(now.Add(6*time.Second), "llm"))
+}
