--- a/internal/labcommands/labcommands.go
+++ b/internal/labcommands/labcommands.go
@@ -29,6 +29,8 @@
              process; sends real traffic and prints a report
   compare    the same arrivals to several policies, in rounds, on real routers
              and stand-ins in one process; prints ratios and bounds
+  simulate   heavy days before modelled engines, in virtual time: the placer,
+             naive ways and one that knows every engine's state
   load       an open-loop load on running routers; prints what callers saw
   platform   stand-in for the platform's object API and instance list
   engine     stand-in for a model engine
@@ -60,6 +62,7 @@
 		"compare":  (*Commands).compare,
 		"demo":     (*Commands).demo,
 		"load":     (*Commands).load,
+		"simulate": (*Commands).simulate,
 		"platform": (*Commands).platform,
 		"engine":   (*Commands).engine,
 		"service":  (*Commands).service,
--- a/internal/labcommands/labcommands_test.go
+++ b/internal/labcommands/labcommands_test.go
@@ -39,6 +39,8 @@
 		{[]string{"compare", "-instances", "0"}, "instances", "0"},
 		{[]string{"compare", "-plot", "plot.gif"}, "plot", "plot.gif"},
 		{[]string{"compare", "-fault", "{"}, "fault", "{"},
+		{[]string{"simulate", "-scenario", "storm"}, "scenario", "storm"},
+		{[]string{"simulate", "-engines", "1"}, "engines", "1"},
 		{[]string{"load"}, "routers", ""},
 		{[]string{"load", "-routers", "http://127.0.0.1:1"}, "tokens", ""},
 		{append(load, "-mix", "talk=1"), "mix", "talk=1"},
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -98,7 +98,7 @@
 	if long {
 		e = s.familiar(s.candidates[first:])
 	} else {
-		e = s.quietest(s.spare(s.candidates[:first]))
+		e = s.nearby(s.quietest(s.spare(s.candidates[:first])), s.candidates[first:])
 	}
 	if e == nil {
 		e = s.quietest(s.candidates)
@@ -171,6 +171,21 @@
 	return side
 }
 
+// nearby takes an engine of the other group for a short prompt that would be late
+// in its own, which follows a surge only after a while.
+func (s *search) nearby(own *endpoint, others []*endpoint) *endpoint {
+	other := s.quietest(others)
+	if own == nil || other == nil || s.ask.Target <= 0 {
+		return own
+	}
+	wait := s.expected(own, s.fresh(own))
+	if wait < time.Duration(lateShare*float64(s.ask.Target)) || s.expected(other, s.fresh(other))+moveGain >= wait {
+		return own
+	}
+
+	return other
+}
+
 // quietest takes the engine that runs and has to read least, for a short prompt:
 // a millisecond of reading counts like a running stream.
 func (s *search) quietest(side []*endpoint) *endpoint {
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -94,8 +94,12 @@
 	partsMost = 1024
 	// moveGain is by how much sooner another engine must give the first token
 	// before a family of prompts leaves its own, beside the time in which the
-	// other would read the shared part again.
+	// other would read the shared part again, and before a short prompt leaves its
+	// group.
 	moveGain = 60 * time.Millisecond
+	// lateShare is the share of the target beyond which a predicted wait is likely
+	// to end late: predictions miss by about half.
+	lateShare = 0.6
 	// stepTime is the share that one running stream adds to the wait for a
 	// first token.
 	stepTime = 500 * time.Microsecond
