notifier, placer: Tell the others at once what an engine got or read

What is lost is made good by the next message. The placer keeps its sums by it; the property test against the naive sums covers notes. -note-port sets the port.

--- a/internal/configurer/relay.go
+++ b/internal/configurer/relay.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"io"
+	"math"
 	"net"
 	"net/url"
 	"strings"
@@ -21,6 +22,9 @@
 	// PeerListen that for the other instances, MetricsListen that of the
 	// metrics.
 	Listen, StatusListen, PeerListen, MetricsListen string
+	// NotePort is the port of notes between instances, the same at all of them;
+	// 0: none are sent.
+	NotePort int
 	// Seeds are addresses of other instances, separated by commas.
 	Seeds string
 	// LogLevel is trace, debug, info, warn or error.
@@ -74,6 +78,7 @@
 	set.StringVar(&s.StatusListen, "status-listen", "127.0.0.1:8081", "`address` of readiness")
 	set.StringVar(&s.PeerListen, "peer-listen", "127.0.0.1:8082", "`address` for the other instances")
 	set.StringVar(&s.MetricsListen, "metrics-listen", "", "`address` of /metrics; empty: none")
+	set.IntVar(&s.NotePort, "note-port", 0, "UDP `port` of notes between instances, the same at all of them; 0: none")
 	set.StringVar(&s.Seeds, "seeds", "", "peer `addresses` of some other instances, separated by commas")
 	set.StringVar(&s.LogLevel, "log-level", "info", "trace, debug, info, warn or error")
 	set.IntVar(&s.Memory, "memory", 0, "limit of the process in `megabytes`; 0: none")
@@ -126,6 +131,8 @@
 
 func (s Relay) checkLimits() error {
 	switch {
+	case s.NotePort < 0 || s.NotePort > math.MaxUint16:
+		return flagger.Invalid("note-port", s.NotePort, "a port, or 0")
 	case s.Memory < 0:
 		return flagger.Invalid("memory", s.Memory, "0 megabytes or more")
 	case s.KeyLease <= 0:
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -74,6 +74,7 @@
 	read     []registrar.Endpoint
 	digest   uint64
 	listedAt time.Duration // boot time
+	notify   func(endpoint string, load placer.Load)
 }
 
 // New returns a dispatcher that knows nothing yet. Serve runs it.
@@ -90,6 +91,7 @@
 		retries:  retrier.NewWindow(settings.Retries),
 		poison:   quarantiner.New(quarantiner.DefaultSettings()),
 		broken:   map[string][]breakage{},
+		notify:   func(string, placer.Load) {},
 	}
 }
 
@@ -103,6 +105,13 @@
 	})
 }
 
+// Notify has what this instance has at an engine told to others whenever a
+// prompt comes to it or was read there. The function must not wait. Call it
+// before Serve.
+func (d *Dispatcher) Notify(notify func(endpoint string, load placer.Load)) {
+	d.notify = notify
+}
+
 // String returns the name that the supervisor logs.
 func (d *Dispatcher) String() string {
 	return "dispatcher"
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -75,6 +75,11 @@
 	})
 }
 
+// HeardLoad takes in what a peer has at one endpoint.
+func (d *Dispatcher) HeardLoad(peer, endpoint string, load placer.Load) {
+	d.do(func() { d.placer.HeardLoad(peer, endpoint, load) })
+}
+
 // ConfirmedBy takes in what a peer knows, as an answer to a question that was sent
 // at the given boot time, and returns what to ask it for. What the peer's read
 // confirmed was so at the latest when the question was sent, less the read's
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -38,6 +38,7 @@
 		d.next++
 		placement.id = d.next
 		d.placer.Start(now, placement.id, placement.Choice, ask)
+		d.note(placement)
 	})
 
 	return placement, ok
@@ -45,7 +46,21 @@
 
 // First records the first event of a placed request.
 func (d *Dispatcher) First(placement Placement) {
-	d.do(func() { d.placer.First(d.clock.Now(), placement.id) })
+	d.do(func() {
+		d.placer.First(d.clock.Now(), placement.id)
+		d.note(placement)
+	})
+}
+
+// noteLeast is the prompt tokens from which on others are told at once; an engine
+// reads fewer in some 5 ms.
+const noteLeast = 256
+
+// note tells others what this instance has at a placement's engine.
+func (d *Dispatcher) note(placement Placement) {
+	if placement.Fresh >= noteLeast {
+		d.notify(placement.ID, d.placer.OwnLoad(placement.ID))
+	}
 }
 
 // Alive records that events come.
--- a/internal/gossiper/choose.go
+++ b/internal/gossiper/choose.go
@@ -45,8 +45,8 @@
 	return due
 }
 
-// addresses are those of the instances that were heard lately.
-func (g *Gossiper) addresses() []string {
+// Addresses returns those of the instances that were heard lately.
+func (g *Gossiper) Addresses() []string {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -13,7 +13,7 @@
 // tell loads.
 func (g *Gossiper) message(known int, full bool) *gossipwire.Message {
 	state := g.control.Message()
-	addresses := g.addresses()
+	addresses := g.Addresses()
 	g.mu.Lock()
 	leaving := g.leaving
 	g.mu.Unlock()
--- a/internal/lab/simulator/request.go
+++ b/internal/lab/simulator/request.go
@@ -99,6 +99,7 @@
 		return 0, nil, false
 	}
 	p.Start(f.now, s.id, choice, ask)
+	defer func() { f.note(s.instance, f.engines[at]) }()
 	for i, registered := range f.endpoints {
 		if registered.ID == choice.ID {
 			at = i
--- a/internal/lab/simulator/way.go
+++ b/internal/lab/simulator/way.go
@@ -12,6 +12,8 @@
 	// choose picks among the engines that are not avoided; nil: the instances'
 	// placers do.
 	choose func(f *Fleet, serial int, ask placer.Ask, open []int) int
+	// notes tells that instances tell loads at once, beside their messages.
+	notes bool
 	// copies tells that cached parts are copied from any engine that has them.
 	copies bool
 }
@@ -21,7 +23,12 @@
 
 // Ours is the placer as the router uses it.
 func Ours() Way {
-	return Way{Name: "ours"}
+	return Way{Name: "ours", notes: true}
+}
+
+// Messages is ours without notes: loads are told by messages alone.
+func Messages() Way {
+	return Way{Name: "by messages"}
 }
 
 // InTurn takes the engines in turn.
@@ -63,7 +70,7 @@
 
 // Ways returns all ways, the naive ones after ours.
 func Ways() []Way {
-	return []Way{Ours(), InTurn(), FixedThird(), Known()}
+	return []Way{Ours(), Messages(), InTurn(), FixedThird(), Known()}
 }
 
 const (
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/internal/gossiper"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
+	"github.com/oleanderpick/oleanderpick/internal/notifier"
 	"github.com/oleanderpick/oleanderpick/internal/relayer"
 	"github.com/oleanderpick/oleanderpick/internal/storer"
 	"github.com/oleanderpick/oleanderpick/internal/watcher"
@@ -83,6 +85,7 @@
 	relayer  *relayer.Relayer
 	gossip   *gossiper.Gossiper
 	links    *connector.Connector
+	counters *meter.Meter
 	idlers   *idlers
 	tree     *suture.Supervisor
 	callers  *http.Server
@@ -114,6 +117,7 @@
 	store := storer.New(settings.Platform, &http.Client{Transport: storeTransport()}).
 		WithTimeout(storeTimeout).WithDialect(platform.Dialect)
 	reads := watcher.New(watcher.DefaultPace(), store, platform.Reader, r.control, logger.Named("watcher"))
+	r.counters = counters
 	r.idlers = newIdlers(r.idleTimeout)
 	r.callers = &http.Server{
 		Handler:           r.relayer,
@@ -237,6 +241,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.listenNotes(); err != nil {
+		return err
+	}
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	ended := r.tree.ServeBackground(running)
@@ -288,6 +295,27 @@
 	return listeners, nil
 }
 
+// listenNotes opens the port of notes between instances, if there is one.
+func (r *Runner) listenNotes() error {
+	if r.settings.NotePort == 0 {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(r.settings.PeerListen)
+	if err != nil {
+		return errors.Wrapf(err, "setting -peer-listen: value %q", r.settings.PeerListen)
+	}
+	var config net.ListenConfig
+	conn, err := config.ListenPacket(context.Background(), "udp4", net.JoinHostPort(host, strconv.Itoa(r.settings.NotePort)))
+	if err != nil {
+		return errors.Wrapf(err, "setting -note-port: value %d", r.settings.NotePort)
+	}
+	notes := notifier.New(r.settings.Name, uint16(r.settings.NotePort), conn, r.gossip, r.control, r.counters, r.logger.Named("notifier"))
+	r.control.Notify(notes.Tell)
+	r.tree.Add(notes)
+
+	return nil
+}
+
 // Addresses waits until the instance listens and returns where.
 func (r *Runner) Addresses() (callers, status, peers string) {
 	<-r.serving
--- a/pkg/placer/peers.go
+++ b/pkg/placer/peers.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// peerMemory is the least time that the message of another instance counts.
@@ -40,10 +43,26 @@
 	}
 	m.add(endpoints, -1)
 	m.gap += time.Duration(gapMemory * float64(now.Sub(m.at)-m.gap))
-	m.at, m.loads = now, loads
+	m.at, m.loads = now, maps.Clone(loads)
 	m.add(endpoints, 1)
 }
 
+// note takes in what an instance has at one endpoint since its last message.
+// What an instance has that was never heard is left to its first message.
+func (p *peers) note(name, id string, load Load, endpoints map[string]*endpoint) {
+	m := p.messages[name]
+	if m == nil {
+		return
+	}
+	if m.loads == nil {
+		m.loads = map[string]Load{}
+	}
+	if e := endpoints[id]; e != nil {
+		e.others = e.others.plus(m.loads[id], -1).plus(load, 1)
+	}
+	m.loads[id] = load
+}
+
 // expire forgets messages that are too old.
 func (p *peers) expire(now time.Time, endpoints map[string]*endpoint) {
 	if now.Sub(p.expired) < expireInterval {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -252,6 +252,21 @@
 	p.peers.hear(now, peer, loads, p.endpoints)
 }
 
+// HeardLoad takes in what another instance has at one endpoint, between two
+// messages that tell all.
+func (p *Placer) HeardLoad(peer, id string, load Load) {
+	p.peers.note(peer, id, load, p.endpoints)
+}
+
+// OwnLoad returns what this instance has at an endpoint.
+func (p *Placer) OwnLoad(id string) Load {
+	if e := p.endpoints[id]; e != nil {
+		return e.own
+	}
+
+	return Load{}
+}
+
 // hash gives a name a rank that is the same on every instance.
 func hash(name string, key uint64) uint64 {
 	h := fnv.New64a()
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -236,6 +236,11 @@
 			}
 			p.Heard(now, peer, loads, nil)
 			last[peer] = said{now, loads}
+			if rapid.Bool().Draw(t, "notes") {
+				noted := placer.Load{Running: rapid.IntRange(0, 50).Draw(t, "noted")}
+				p.HeardLoad(peer, "e00", noted)
+				loads["e00"] = noted
+			}
 		}
 		p.Configure(plain(3))
 		_, _ = p.Pick(now.Add(200*time.Millisecond), placer.Ask{Service: "api"})
