--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -27,8 +27,9 @@
 	backlog = 64
 	// datagramMost is the largest note in bytes: names and three numbers.
 	datagramMost = 1200
-	// toldMost bounds the instances that are told. In a larger fleet each has a
-	// smaller part of an engine's load, and the cost must not grow with the fleet.
+	// toldMost is the most other instances with which notes are sent. In a larger
+	// fleet each has a smaller part of an engine's load, and what notes cost an
+	// instance grows with the fleet.
 	toldMost = 12
 	// retry is the time after which a read that failed is repeated.
 	retry = 100 * time.Millisecond
@@ -55,7 +56,6 @@
 	meter   *meter.Meter
 	logger  hclog.Logger
 	notes   chan note
-	next    int // the member to begin with
 	done    chan struct{}
 }
 
@@ -116,9 +116,12 @@
 	}
 }
 
-// send sends a note to the live members, to different ones in turn where there
-// are too many.
+// send sends a note to the live members, unless they are too many.
 func (n *Notifier) send(told note) {
+	members := n.members.Addresses()
+	if len(members) > toldMost {
+		return
+	}
 	datagram, err := proto.Marshal(&gossipwire.Message{
 		Name: n.name,
 		Loads: []*gossipwire.Load{{
@@ -131,9 +134,8 @@
 
 		return
 	}
-	members := n.members.Addresses()
-	for i := range min(len(members), toldMost) {
-		address, err := n.address(members[(n.next+i)%len(members)])
+	for _, member := range members {
+		address, err := n.address(member)
 		if err == nil {
 			_, err = n.conn.WriteTo(datagram, address)
 		}
@@ -141,7 +143,6 @@
 			n.meter.Add("notes.failed", 1)
 		}
 	}
-	n.next += toldMost
 }
 
 // address is where the member with an address for messages takes notes.
--- a/internal/notifier/notifier_test.go
+++ b/internal/notifier/notifier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -113,3 +114,24 @@
 		<-c.Done()
 	})
 }
+
+// What notes cost grows with the fleet: a large one goes without.
+func TestLargeFleetSendsNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mail := &post{sockets: map[string]*socket{}}
+		const fleet = 40
+		others := make(members, 0, fleet)
+		for i := range fleet {
+			others = append(others, fmt.Sprintf("10.0.1.%d:80", i))
+		}
+		n := notifier.New("a", 7200, mail.listen("10.0.0.1:7200"), others, &heard{}, meter.New(), hclog.NewNullLogger())
+		far := mail.listen("10.0.1.1:7200")
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = n.Serve(ctx) }()
+		n.Tell("e1", placer.Load{Running: 1})
+		synctest.Wait()
+		assert.Equal(t, len(far.arrived), 0)
+		cancel()
+		<-n.Done()
+	})
+}
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -27,39 +26,21 @@
 	"github.com/oleanderpick/oleanderpick/internal/relayer"
 	"github.com/oleanderpick/oleanderpick/internal/storer"
 	"github.com/oleanderpick/oleanderpick/internal/watcher"
-	"github.com/oleanderpick/oleanderpick/pkg/drainer"
-	"github.com/oleanderpick/oleanderpick/pkg/retrier"
 )
 
 const (
 	// storeTimeout bounds a call of the platform. Two in a row and their
 	// interval stay below the two seconds in which a change must be known.
 	storeTimeout = 700 * time.Millisecond
-	// leaseMargin covers the way of a request to an endpoint after the check.
-	leaseMargin = 150 * time.Millisecond
 	// headerTimeout bounds how long a caller may take for a request's head.
 	headerTimeout = 10 * time.Second
 	// headerMost is the largest head in bytes; the configuration's limit is
 	// within it.
 	headerMost = 64 << 10
-	// noticed is the time after which the balancer, which asks once a second
-	// and believes the second answer, sends no new connections.
-	noticed = 3 * time.Second
-	// quiet is the time without a new connection after which none is on its way;
-	// a lost packet comes again after 200 ms and somewhat more.
-	quiet = 400 * time.Millisecond
-	// stopMargin is kept of the stop limit for the end of the process, which
-	// takes some 50 ms.
-	stopMargin = 400 * time.Millisecond
-	// stopInterval is how often a stopping instance looks whether it may end.
-	stopInterval = 50 * time.Millisecond
 	// peerIdle is how long a connection between instances stays idle.
 	peerIdle = 20 * time.Second
 	// sweepInterval is how often idle connections are looked through.
 	sweepInterval = 500 * time.Millisecond
-	// memoryShare is the part of the process's memory that Go's heap and
-	// stacks may take before the collector works harder.
-	memoryShare = 0.5
 )
 
 // Reader names and reads the platform's objects.
@@ -194,44 +175,6 @@
 	return mux
 }
 
-// Add adds a service to the supervisor tree.
-func (r *Runner) Add(service suture.Service) {
-	r.tree.Add(service)
-}
-
-// Reload takes in new settings: the seeds and all limits. Names and addresses
-// hold from the next start.
-func (r *Runner) Reload(settings configurer.Relay) {
-	r.gossip.Meet(settings.PeerAddresses())
-	r.control.Configure(limits(settings))
-	limitMemory(settings.Memory)
-	r.stopLimit.Store(int64(settings.StopLimit))
-	r.logger.Info("Settings are reloaded.", "seeds", settings.Seeds, "key lease", settings.KeyLease.String(),
-		"retry share", settings.RetryShare, "retry burst", settings.RetryBurst, "stop limit", settings.StopLimit.String(),
-		"name from the next start", settings.Name)
-}
-
-// limits are the control state's.
-func limits(settings configurer.Relay) dispatcher.Settings {
-	return dispatcher.Settings{
-		Name:       settings.Name,
-		DataCentre: settings.DataCentre,
-		KeyLease:   settings.KeyLease - leaseMargin,
-		Return:     settings.EndpointReturn,
-		Retries: retrier.WindowSettings{
-			Length: settings.RetryWindow, Share: settings.RetryShare, Burst: settings.RetryBurst,
-		},
-	}
-}
-
-// limitMemory has the collector keep within a share of the process's megabytes;
-// 0: no limit.
-func limitMemory(megabytes int) {
-	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(float64(megabytes) * memoryShare * (1 << 20)))
-	}
-}
-
 // Run serves until ctx ends, then stops as planned: new connections go
 // elsewhere once the balancer has noticed, and requests in flight end whole, as
 // long as the stop limit allows.
@@ -242,7 +185,7 @@
 		return err
 	}
 	if err := r.listenNotes(); err != nil {
-		return err
+		r.logger.Error("Notes between instances are off.", "error", err)
 	}
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -295,7 +238,8 @@
 	return listeners, nil
 }
 
-// listenNotes opens the port of notes between instances, if there is one.
+// listenNotes opens the port of notes between instances, if there is one. An
+// instance serves without it, and learns of loads by messages alone.
 func (r *Runner) listenNotes() error {
 	if r.settings.NotePort == 0 {
 		return nil
@@ -327,43 +271,3 @@
 func (r *Runner) Done() <-chan struct{} {
 	return r.done
 }
-
-// stop ends what runs.
-func (r *Runner) stop() {
-	begun := time.Now()
-	limit := time.Duration(r.stopLimit.Load()) - stopMargin
-	r.logger.Info("Stopping.", "in flight", r.relayer.InFlight())
-	r.leaving.Store(true)
-	r.relayer.Leave()
-	r.gossip.Leave()
-	r.drain(begun, limit)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(limit))
-	defer cancel()
-	if err := r.callers.Shutdown(ctx); err != nil {
-		r.logger.Warn("Requests in flight are cut off.", "in flight", r.relayer.InFlight(), "error", err)
-		_ = r.callers.Close()
-	}
-	_ = r.status.Close()
-	_ = r.peers.Close()
-	_ = r.metrics.Close()
-}
-
-// drain serves on until the stop may end.
-func (r *Runner) drain(begun time.Time, limit time.Duration) {
-	settings := drainer.Settings{Noticed: noticed, Quiet: quiet, Limit: limit}
-	ticker := time.NewTicker(stopInterval)
-	defer ticker.Stop()
-	for now := begun; ; now = <-ticker.C {
-		step := settings.Next(drainer.Progress{
-			Since: now.Sub(begun), InFlight: r.relayer.InFlight(), SinceOpened: now.Sub(r.idlers.lastOpened()),
-		})
-		switch step {
-		case drainer.Finish:
-			r.relayer.Finish(begun.Add(limit))
-			r.idlers.closeAll()
-		case drainer.End:
-			return
-		case drainer.Serve:
-		}
-	}
-}
