--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -233,6 +233,7 @@
 	if t.ran && t.result == placer.Failed && !stalled {
 		j.relayer.control.Broke(t.placement, j.fingerprint())
 	}
+	// Where nothing is acknowledged or heard, idle connections may be dead too.
 	if t.result == placer.Failed && (errors.Is(cause, syscall.ETIMEDOUT) || j.silent(t)) {
 		j.relayer.endpoints.Forget(t.placement.Address)
 	}
--- a/internal/relayrunner/idlers.go
+++ b/internal/relayrunner/idlers.go
@@ -13,7 +13,8 @@
 	"github.com/oleanderpick/oleanderpick/internal/connector"
 )
 
-// idlers are the callers' connections without a request. net/http has an idle
+// idlers are the callers' connections without a request, and when the last of all
+// connections was opened. net/http has an idle
 // timeout too, but not one that a new configuration can change.
 type idlers struct {
 	timeout func() time.Duration
--- a/pkg/placer/peers.go
+++ b/pkg/placer/peers.go
@@ -47,19 +47,17 @@
 	m.add(endpoints, 1)
 }
 
-// note takes in what an instance has at one endpoint since its last message.
-// What an instance has that was never heard is left to its first message.
+// note takes in what an instance has at one endpoint since its last message. An
+// instance or endpoint that is not known yet is left to the next message.
 func (p *peers) note(name, id string, load Load, endpoints map[string]*endpoint) {
-	m := p.messages[name]
-	if m == nil {
+	m, e := p.messages[name], endpoints[id]
+	if m == nil || e == nil {
 		return
 	}
 	if m.loads == nil {
 		m.loads = map[string]Load{}
 	}
-	if e := endpoints[id]; e != nil {
-		e.others = e.others.plus(m.loads[id], -1).plus(load, 1)
-	}
+	e.others = e.others.plus(m.loads[id], -1).plus(load, 1)
 	m.loads[id] = load
 }
 
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -163,13 +163,6 @@
 	}
 }
 
-// Silent reports whether an endpoint's streams have all stopped.
-func (p *Placer) Silent(now time.Time, id string) bool {
-	e := p.endpoints[id]
-
-	return e != nil && e.silent(now)
-}
-
 // LastAlive returns when something last came from an endpoint; zero: never.
 func (p *Placer) LastAlive(id string) time.Time {
 	if e := p.endpoints[id]; e != nil {
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -97,8 +97,8 @@
 	// other would read the shared part again, and before a short prompt leaves its
 	// group.
 	moveGain = 60 * time.Millisecond
-	// lateShare is the share of the target beyond which a predicted wait is likely
-	// to end late: predictions miss by about half.
+	// lateShare is the share of the target from which on a predicted wait is taken
+	// to end late.
 	lateShare = 0.6
 	// stepTime is the share that one running stream adds to the wait for a
 	// first token.
