--- a/internal/common/reloader/reloader_test.go
+++ b/internal/common/reloader/reloader_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,17 +15,46 @@
 	"github.com/oleanderpick/oleanderpick/internal/common/reloader"
 )
 
+// file is settings that somebody writes, and what was applied of them.
+type file struct {
+	mu      sync.Mutex
+	written string
+	broken  error
+	applied []string
+}
+
+func (f *file) write(settings string, broken error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.written, f.broken = settings, broken
+}
+
+func (f *file) read() (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.written, f.broken
+}
+
+func (f *file) apply(settings string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applied = append(f.applied, settings)
+}
+
+func (f *file) inForce() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return strings.Join(f.applied, " ")
+}
+
 // Settings that change without a signal are taken in, those that cannot be read
 // leave the last ones in force, and the same ones change nothing.
 func TestSettingsAreTakenInWithoutASignal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var (
-			written = "a"
-			broken  error
-			applied []string
-		)
-		r := reloader.New(2*time.Second, written, func() (string, error) { return written, broken },
-			func(settings string) { applied = append(applied, settings) }, hclog.NewNullLogger())
+		f := &file{written: "a"}
+		r := reloader.New(2*time.Second, "a", f.read, f.apply, hclog.NewNullLogger())
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = r.Serve(ctx) }()
 		settle := func() {
@@ -31,17 +62,17 @@
 			synctest.Wait()
 		}
 		settle()
-		assert.Equal(t, len(applied), 0)
-		written = "b"
+		assert.Equal(t, f.inForce(), "")
+		f.write("b", nil)
 		settle()
-		assert.DeepEqual(t, applied, []string{"b"})
-		written, broken = "", errors.New("half written")
+		assert.Equal(t, f.inForce(), "b")
+		f.write("", errors.New("half written"))
 		settle()
-		assert.DeepEqual(t, applied, []string{"b"})
-		written, broken = "c", nil
+		assert.Equal(t, f.inForce(), "b")
+		f.write("c", nil)
 		r.Prompt()
 		synctest.Wait()
-		assert.DeepEqual(t, applied, []string{"b", "c"})
+		assert.Equal(t, f.inForce(), "b c")
 		cancel()
 		<-r.Done()
 	})
