--- a/internal/relayrunner/idlers.go
+++ b/internal/relayrunner/idlers.go
@@ -14,8 +14,8 @@
 )
 
 // idlers are the callers' connections without a request, and when the last of all
-// connections was opened. net/http has an idle
-// timeout too, but not one that a new configuration can change.
+// connections was opened. net/http has an idle timeout too, but not one that a new
+// configuration can change.
 type idlers struct {
 	timeout func() time.Duration
 
