gossiper, notifier, simulator: Keep one codec of a load, drop state that is derived

Cause: read once more, the notifier spelled and read a load with the same lines as the gossiper's messages; the simulated fleet copied a flag of its way, and a sequence had a field that nothing reads.

Ruled out: joining the two judgements of silence: the placer's is of all an endpoint's streams before a request is sent, the relayer's of one request's wait.

Change: gossiper.EncodeLoad and DecodeLoad serve both; the fields are gone. Behaviour is the same.

--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -52,10 +52,9 @@
 		}
 	}
 	for id, load := range state.Loads {
-		message.Loads = append(message.Loads, &gossipwire.Load{
-			Endpoint: id, Running: uint32(max(0, load.Running)), Short: uint32(max(0, load.Short)),
-			Pending: uint32(max(0, load.Pending)), Reads: state.Reads[id],
-		})
+		told := EncodeLoad(id, load)
+		told.Reads = state.Reads[id]
+		message.Loads = append(message.Loads, told)
 	}
 	for name, demand := range state.Demands {
 		message.Demands = append(message.Demands, &gossipwire.Demand{
@@ -65,6 +64,19 @@
 	}
 }
 
+// EncodeLoad spells what an instance has at an endpoint.
+func EncodeLoad(endpoint string, load placer.Load) *gossipwire.Load {
+	return &gossipwire.Load{
+		Endpoint: endpoint, Running: uint32(max(0, load.Running)), Short: uint32(max(0, load.Short)),
+		Pending: uint32(max(0, load.Pending)),
+	}
+}
+
+// DecodeLoad reads what an instance has at an endpoint.
+func DecodeLoad(load *gossipwire.Load) placer.Load {
+	return placer.Load{Running: int(load.GetRunning()), Short: int(load.GetShort()), Pending: int(load.GetPending())}
+}
+
 func encodeSuspect(now time.Time, entry quarantiner.Entry) *gossipwire.Suspect {
 	suspect := &gossipwire.Suspect{Fingerprint: entry.Fingerprint, Sure: entry.Sure}
 	if !entry.Cleared.IsZero() {
@@ -98,9 +110,7 @@
 func decodeMessage(message *gossipwire.Message) dispatcher.Message {
 	decoded := dispatcher.Message{Brief: message.GetBrief(), Loads: map[string]placer.Load{}, Demands: map[string]placer.Demand{}, Reads: map[string][]uint64{}}
 	for _, load := range message.GetLoads() {
-		decoded.Loads[load.GetEndpoint()] = placer.Load{
-			Running: int(load.GetRunning()), Short: int(load.GetShort()), Pending: int(load.GetPending()),
-		}
+		decoded.Loads[load.GetEndpoint()] = DecodeLoad(load)
 		decoded.Reads[load.GetEndpoint()] = load.GetReads()
 	}
 	for _, demand := range message.GetDemands() {
--- a/internal/lab/simulator/engine.go
+++ b/internal/lab/simulator/engine.go
@@ -24,7 +24,6 @@
 	arrived      time.Time
 	unread, made int
 	output       int // tokens that it makes
-	begun        bool
 	first        time.Duration
 	latest       time.Time // event
 	pause        time.Duration
@@ -105,7 +104,7 @@
 
 // begin starts the stream of a sequence whose prompt is read.
 func (e *engine) begin(s *sequence) {
-	s.begun, s.made = true, 1
+	s.made = 1
 	s.first = e.next.Sub(s.arrived)
 	s.latest = e.next
 	for _, part := range s.parts {
--- a/internal/lab/simulator/fleet.go
+++ b/internal/lab/simulator/fleet.go
@@ -41,7 +41,6 @@
 	began     time.Time
 	now       time.Time
 	way       Way
-	notes     bool // loads are told at once, beside the messages
 	engines   []*engine
 	endpoints []registrar.Endpoint
 	instances []*placer.Placer
@@ -67,7 +66,7 @@
 }
 
 func newFleet(way Way, instances, engines int, seed uint64) *Fleet {
-	f := &Fleet{random: rand.New(rand.NewPCG(seed, secondSeed)), now: time.Unix(1000, 0), way: way, notes: way.notes, known: map[uint64]bool{}}
+	f := &Fleet{random: rand.New(rand.NewPCG(seed, secondSeed)), now: time.Unix(1000, 0), way: way, known: map[uint64]bool{}}
 	for i := range engines {
 		f.engines = append(f.engines, newEngine(f.now))
 		f.endpoints = append(f.endpoints, registrar.Endpoint{
@@ -183,7 +182,7 @@
 
 // note tells the other instances at once what one has at an engine.
 func (f *Fleet) note(teller int, e *engine) {
-	if !f.notes {
+	if !f.way.notes {
 		return
 	}
 	id := f.endpoints[slices.Index(f.engines, e)].ID
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/oleanderpick/oleanderpick/internal/gossiper"
 	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
@@ -123,11 +124,8 @@
 		return
 	}
 	datagram, err := proto.Marshal(&gossipwire.Message{
-		Name: n.name,
-		Loads: []*gossipwire.Load{{
-			Endpoint: told.endpoint, Running: uint32(max(0, told.load.Running)),
-			Short: uint32(max(0, told.load.Short)), Pending: uint32(max(0, told.load.Pending)),
-		}},
+		Name:  n.name,
+		Loads: []*gossipwire.Load{gossiper.EncodeLoad(told.endpoint, told.load)},
 	})
 	if err != nil {
 		n.logger.Error("A note cannot be encoded.", "endpoint", told.endpoint, "error", err)
@@ -175,9 +173,7 @@
 			continue
 		}
 		for _, load := range message.GetLoads() {
-			n.control.HeardLoad(message.GetName(), load.GetEndpoint(), placer.Load{
-				Running: int(load.GetRunning()), Short: int(load.GetShort()), Pending: int(load.GetPending()),
-			})
+			n.control.HeardLoad(message.GetName(), load.GetEndpoint(), gossiper.DecodeLoad(load))
 		}
 	}
 }
