--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -25,6 +25,8 @@
 	connection *connector.Connection
 	sentAt     time.Time
 	response   *http.Response
+	// endpointLoad is the load that the endpoint stated in its response; nil if none.
+	endpointLoad *EndpointLoad
 	// answered is true once the caller has the final answer.
 	answered bool
 	// mayHaveRun is true if the endpoint may have run the request.
@@ -94,9 +96,10 @@
 // logPlaced logs the chosen endpoint and the estimates by which it was chosen.
 func (r *relayedRequest) logPlaced(placement dispatcher.Placement) {
 	r.relayer.logger.Info("Placed.", "request", r.metadata.ID, "route", r.route.Name, "workspace", r.forwarding.Workspace,
-		"tier", r.forwarding.Tier, "service", r.placementRequest.Service, "endpoint", placement.EndpointID, "remote", placement.InOtherDataCentre, "prompt", r.placementRequest.PromptTokens,
+		"tier", r.forwarding.Tier, "route tier", r.route.Tier, "service", r.placementRequest.Service, "endpoint", placement.EndpointID, "remote", placement.InOtherDataCentre, "prompt", r.placementRequest.PromptTokens,
 		"fresh", placement.UncachedTokens, "copied from", placement.CacheSourceAddress, "long", placement.IsLongPrompt, "border", placement.Split, "engines", placement.EngineCount,
-		"expected ms", placement.ExpectedTimeToFirstToken.Milliseconds(), "tries before", r.possibleRuns+r.refusals+r.unsentAttempts,
+		"expected ms", placement.ExpectedTimeToFirstToken.Milliseconds(), "known running", placement.KnownLoad.RunningRequests,
+		"known pending", placement.KnownLoad.PendingTokens, "tries before", r.possibleRuns+r.refusals+r.unsentAttempts,
 		"configuration", r.matcher.Number(), "left ms", time.Until(r.deadline).Milliseconds())
 }
 
@@ -133,7 +136,7 @@
 		reason = r.relayer.dispatcher.TakeRepeat(r.placementRequest.Service, history, wasSent)
 	}
 	r.relayer.logger.Info("Attempt failed.", "request", r.metadata.ID, "route", r.route.Name, "endpoint", a.placement.EndpointID,
-		"result", a.result.String(), "may have run", a.mayHaveRun, "begun", r.answerStarted, "runs", r.possibleRuns, "refusals", r.refusals, "unsent", r.unsentAttempts,
+		"result", a.result.String(), "endpoint load", a.endpointLoad.String(), "known running", a.placement.KnownLoad.RunningRequests, "may have run", a.mayHaveRun, "begun", r.answerStarted, "runs", r.possibleRuns, "refusals", r.refusals, "unsent", r.unsentAttempts,
 		"cause", causeText(a.failureCause), "decision", decisionName(reason))
 	r.relayer.meter.CountRetryDecision(decisionName(reason))
 	if reason == retrier.ReasonNone {
@@ -301,6 +304,7 @@
 // forwarded or discarded, or whether the attempt has failed.
 func (r *relayedRequest) handleResponse(ctx context.Context, a *attempt) {
 	metadata := r.relayer.codec.ParseResponse(a.response.StatusCode, a.response.Header)
+	a.endpointLoad = metadata.Load
 	switch {
 	case metadata.Misdirected:
 		a.result, a.failureCause = placer.Misdirected, errors.New("another endpoint has the address")
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -51,6 +52,23 @@
 	NotRun bool
 	// Misdirected is true if another endpoint answers at the address.
 	Misdirected bool
+	// Load is the endpoint's own load when it began the answer; nil if not stated.
+	Load *EndpointLoad
+}
+
+// EndpointLoad is what an endpoint says of its load: the requests that it runs, those
+// in its queue, and how many it can run at once.
+type EndpointLoad struct {
+	RunningRequests, QueuedRequests, Slots int
+}
+
+// String returns the load for logs, as "running+queued/slots"; "unknown" if l is nil.
+func (l *EndpointLoad) String() string {
+	if l == nil {
+		return "unknown"
+	}
+
+	return fmt.Sprintf("%d+%d/%d", l.RunningRequests, l.QueuedRequests, l.Slots)
 }
 
 // HeaderCodec converts the metadata of requests and answers from and to HTTP headers.
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -44,6 +44,7 @@
 	outgoing.Set("X-Endpoint", forwarding.EndpointID)
 	outgoing.Set("X-Left", forwarding.RemainingTime.String())
 	outgoing.Set("X-Workspace", forwarding.Workspace)
+	outgoing.Set("X-Tier", strconv.Itoa(forwarding.Tier))
 	if forwarding.LastEventID != "" {
 		outgoing.Set("X-After", forwarding.LastEventID)
 	}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -95,7 +95,7 @@
 	if request.PromptTokens == 0 {
 		e := s.pickPlain()
 
-		return Choice{EndpointID: e.ID, Address: e.Address, InOtherDataCentre: e.DataCentre != s.dataCentre}, true
+		return Choice{EndpointID: e.ID, Address: e.Address, KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre}, true
 	}
 
 	return s.pickEngine(), true
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -67,6 +67,8 @@
 	// cached and from which the chosen engine should copy it; empty if there is
 	// none.
 	CacheSourceAddress string
+	// KnownLoad is the load of all instances at the endpoint, as this instance knows it.
+	KnownLoad Load
 	// InOtherDataCentre reports whether the endpoint is outside this instance's
 	// data centre.
 	InOtherDataCentre bool
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -116,7 +116,7 @@
 		CacheSourceAddress: addressOf(source),
 		EndpointID:         e.ID, Address: e.Address, ExpectedTimeToFirstToken: s.timeToFirstToken(e, uncachedTokens),
 		UncachedTokens: uncachedTokens, PrefillTime: s.service.prefillTime(uncachedTokens), IsLongPrompt: isLongPrompt,
-		InOtherDataCentre: e.DataCentre != s.dataCentre, Split: split, EngineCount: len(s.eligible),
+		KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre, Split: split, EngineCount: len(s.eligible),
 	}
 }
 
