--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -8,6 +8,9 @@
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 )
 
+// EngineTierCount is the number of tiers that engines distinguish.
+const EngineTierCount = 10
+
 // RequestMetadata is what a caller's headers state about a request.
 type RequestMetadata struct {
 	// ID is the caller's request ID, which every answer repeats.
@@ -33,8 +36,8 @@
 	RemainingTime time.Duration
 	// Workspace is the caller's workspace; empty if requests need no API key.
 	Workspace string
-	// Tier is the request's priority at an engine, 0 being the highest; negative
-	// if none is sent.
+	// Tier is the request's priority at an engine, from 0, the highest, to
+	// EngineTierCount-1; negative if none is sent.
 	Tier int
 	// LastEventID is the ID of the last event that was forwarded to the caller; empty if
 	// none.
--- a/pkg/matcher/configuration.go
+++ b/pkg/matcher/configuration.go
@@ -111,8 +111,9 @@
 	Name string
 	// APIKeys are the keys that its requests may carry.
 	APIKeys []string
-	// Tier is the priority of the workspace's requests; 0 is the highest. It
-	// replaces the routes' tiers if HasTier is set.
+	// Tier is the priority of the workspace's requests; 0 is the highest. If HasTier
+	// is set, it precedes the routes' tiers: these only order the requests of
+	// workspaces with equal tiers.
 	Tier    int
 	HasTier bool
 }
--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -13,10 +13,11 @@
 
 // Matcher looks up routes, services and workspaces in one configuration.
 type Matcher struct {
-	configuration   Configuration
-	routes          map[hostPrefix]Route
-	services        map[string]Service   // by name
-	workspacesByKey map[string]Workspace // by API key
+	configuration    Configuration
+	routes           map[hostPrefix]Route
+	services         map[string]Service   // by name
+	workspacesByKey  map[string]Workspace // by API key
+	engineTierOrders []tierOrder          // the most urgent first
 }
 
 // hostPrefix is the key of a route in a Matcher: its host in lower case and its path
@@ -28,10 +29,11 @@
 // New returns a matcher for a configuration.
 func New(configuration Configuration) *Matcher {
 	m := &Matcher{
-		configuration:   configuration,
-		routes:          make(map[hostPrefix]Route, len(configuration.Routes)),
-		services:        make(map[string]Service, len(configuration.Services)),
-		workspacesByKey: map[string]Workspace{},
+		configuration:    configuration,
+		routes:           make(map[hostPrefix]Route, len(configuration.Routes)),
+		services:         make(map[string]Service, len(configuration.Services)),
+		workspacesByKey:  map[string]Workspace{},
+		engineTierOrders: engineTierOrders(configuration),
 	}
 	for _, route := range configuration.Routes {
 		m.routes[hostPrefix{strings.ToLower(route.Host), route.PathPrefix}] = route
