--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -18,6 +18,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
+	"github.com/oleanderpick/oleanderpick/pkg/spreader"
 )
 
 // Settings holds the identity of this instance and the intervals and limits of
@@ -32,9 +33,8 @@
 	Seeds []string
 	// RoundInterval is the time between the starts of two rounds.
 	RoundInterval time.Duration
-	// MinFanout and MaxFanout are the numbers of peers contacted in a round, in a
-	// small fleet and in the largest one.
-	MinFanout, MaxFanout int
+	// Fanout limits the number of peers contacted in a round.
+	Fanout spreader.Fanout
 	// ExchangeTimeout limits the duration of one exchange, including a fetch after it.
 	ExchangeTimeout time.Duration
 }
@@ -43,7 +43,7 @@
 // seeds. The round interval keeps the peer loads in a small fleet younger than the
 // usual time to the first token of an answer.
 func DefaultSettings() Settings {
-	return Settings{RoundInterval: 100 * time.Millisecond, MinFanout: 2, MaxFanout: 4, ExchangeTimeout: 300 * time.Millisecond}
+	return Settings{RoundInterval: 100 * time.Millisecond, Fanout: spreader.Fanout{Min: 2, Max: 4}, ExchangeTimeout: 300 * time.Millisecond}
 }
 
 const (
@@ -55,14 +55,6 @@
 	// livenessTimeout is the time since a peer's last message within which it
 	// counts as live.
 	livenessTimeout = 4 * time.Second
-	// fanoutDivisor sets the number of peers contacted in a round, between
-	// MinFanout and MaxFanout: the number of known peers divided by it.
-	fanoutDivisor = 6
-	// loadIntervalDivisor sets which exchanges with a peer carry loads: every
-	// n-th, n being the number of known peers divided by it, but at least 1. In a
-	// larger fleet each instance causes a smaller part of an endpoint's load, and
-	// sends its loads less often in proportion to keep the bytes sent constant.
-	loadIntervalDivisor = 12
 	// rankTimeout is the time since a peer's last message within which the peer
 	// counts in the ranks of others, and within which messages of its earlier
 	// incarnations are ignored.
--- a/internal/gossiper/selection.go
+++ b/internal/gossiper/selection.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/oleanderpick/oleanderpick/pkg/spreader"
 )
 
 // selectPeers returns the peers to contact in this round, those with the oldest
@@ -34,12 +36,11 @@
 		return strings.Compare(a.address, b.address)
 	})
 	if g.roundCount > startupRounds {
-		fanout := min(g.settings.MaxFanout, max(g.settings.MinFanout, len(g.peers)/fanoutDivisor))
-		due = due[:min(len(due), fanout)]
+		due = due[:min(len(due), g.settings.Fanout.PeersPerRound(len(g.peers)))]
 	}
 	for _, p := range due {
 		p.exchanging, p.lastAttemptAt = true, now
-		p.sendLoads = p.exchangeCount%max(1, len(g.peers)/loadIntervalDivisor) == 0
+		p.sendLoads = spreader.CarriesLoads(len(g.peers), p.exchangeCount)
 		p.exchangeCount++
 	}
 
--- a/internal/lab/simulator/engine.go
+++ b/internal/lab/simulator/engine.go
@@ -12,8 +12,8 @@
 	stepDurationPerStream       = 37 * time.Microsecond   // added for each running stream
 	prefillChunkTokens          = 2048                    // most prompt tokens prefilled in a step
 	prefillTokensPerMillisecond = 49.6
-	tokensPerEvent              = 4  // tokens in a stream event
-	engineSlots                 = 64 // sequences that an engine works on at once
+	tokensPerEvent              = 4 // tokens in a stream event
+	maxQueuedPerSlot            = 3 // sequences that may wait at an engine, for each of its slots
 )
 
 // sequence is one attempt of a request at an engine.
@@ -46,7 +46,8 @@
 
 // engine is one modelled engine.
 type engine struct {
-	waiting, prefilling, running []*sequence
+	slots                        int         // sequences that it works on at once
+	waiting, prefilling, running []*sequence // waiting ones in the order of admission
 	cachedBlocks                 map[uint64]bool
 	stepEndsAt                   time.Time // when the current step ends
 	// down: the engine has crashed and refuses connections. unresponsive: it keeps
@@ -60,8 +61,18 @@
 	started, finished, sentEvent []*sequence
 }
 
-func newEngine(now time.Time) *engine {
-	return &engine{cachedBlocks: map[uint64]bool{}, stepEndsAt: now}
+func newEngine(now time.Time, slots int) *engine {
+	return &engine{slots: slots, cachedBlocks: map[uint64]bool{}, stepEndsAt: now}
+}
+
+// hasFreeSlot reports whether the engine would work on one more sequence at once.
+func (e *engine) hasFreeSlot() bool {
+	return !e.down && !e.unresponsive && len(e.waiting)+len(e.prefilling)+len(e.running) < e.slots
+}
+
+// isFull reports whether the engine refuses further sequences.
+func (e *engine) isFull() bool {
+	return len(e.waiting) >= maxQueuedPerSlot*e.slots
 }
 
 func (e *engine) isIdle() bool {
@@ -71,7 +82,7 @@
 // runStep runs one step: it admits waiting sequences to free slots, prefills a chunk
 // of the first unfinished prompt and generates a token for each running stream.
 func (e *engine) runStep(now time.Time) (result stepResult) {
-	for len(e.waiting) > 0 && len(e.prefilling)+len(e.running) < engineSlots {
+	for len(e.waiting) > 0 && len(e.prefilling)+len(e.running) < e.slots {
 		e.admit(e.waiting[0])
 		e.waiting = e.waiting[1:]
 	}
--- a/internal/lab/simulator/fleet.go
+++ b/internal/lab/simulator/fleet.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -8,6 +9,7 @@
 
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
+	"github.com/oleanderpick/oleanderpick/pkg/spreader"
 )
 
 // The simulated requests and their latency targets. A long prompt is a prefix that
@@ -16,7 +18,6 @@
 const (
 	serviceName                = "llm"
 	sharedPrefixTokens         = 6300
-	prefixGroupCount           = 140
 	minLongSuffixTokens        = 200
 	meanExtraLongSuffixTokens  = 2600
 	longOutputTokens           = 52
@@ -27,18 +28,42 @@
 	meanExtraShortOutputTokens = 250
 	longFirstTokenTarget       = 600 * time.Millisecond
 	shortFirstTokenTarget      = 300 * time.Millisecond
-	maxStreamPause             = 200 * time.Millisecond // target for the streams of short prompts
-	gossipInterval             = 150 * time.Millisecond
+	maxStreamPause             = 200 * time.Millisecond  // target for the streams of short prompts
+	roundInterval              = 100 * time.Millisecond  // between two rounds of gossip
 	streamIdleTimeout          = 2 * time.Second         // longest wait of a caller for the next event
 	firstTokenTimeout          = 1500 * time.Millisecond // an attempt without an answer has then failed
 	maxAttempts                = 3
 	secondPCGSeed              = 2
-	dataCentreCount            = 3
 	firstSuffixBlockID         = 1 << 20 // above the IDs of all shared prefixes
 )
 
+// gossipFanout is the fanout of the router's instances.
+var gossipFanout = spreader.Fanout{Min: 2, Max: 4}
+
+// Size is the size of a fleet and of its engines.
+type Size struct {
+	Instances, Engines, DataCentres int
+	// Slots is the number of sequences that an engine works on at once.
+	Slots int
+	// PrefixGroups is the number of different prefixes of long prompts.
+	PrefixGroups int
+}
+
+// SmallSize returns the size of a fleet in which each instance can tell all others of
+// each request.
+func SmallSize() Size {
+	return Size{Instances: 7, Engines: 9, DataCentres: 3, Slots: 64, PrefixGroups: 140}
+}
+
+// GrownSize returns the size of a fleet of many small instances and engines with few
+// slots.
+func GrownSize() Size {
+	return Size{Instances: 62, Engines: 90, DataCentres: 4, Slots: 16, PrefixGroups: 584}
+}
+
 // Fleet is a set of router instances and the engines of one service.
 type Fleet struct {
+	size             Size
 	random           *rand.Rand
 	measurementStart time.Time // end of the warm-up
 	now              time.Time
@@ -46,20 +71,27 @@
 	engines          []*engine
 	endpoints        []registrar.Endpoint // of the engines, in the same order
 	instances        []*placer.Placer
+	contacts         [][]contact // by instance and peer
+	round            int
 	requestCount     int
 	lastSequenceID   uint64
 	prefilledBlocks  map[uint64]bool // blocks that any engine has been sent to prefill
 	outcome          Outcome
 }
 
-// Run simulates a scenario with so many instances and engines. The seed also
-// determines which engines the faults affect.
-func Run(scenario Scenario, policy Policy, instances, engines int, seed uint64) Outcome {
-	f := newFleet(policy, instances, engines, seed)
+// contact is what an instance knows of the rounds in which it contacted a peer.
+type contact struct {
+	lastRound, exchangeCount int
+}
+
+// Run simulates a scenario with a fleet of the given size. The seed also determines
+// which engines the faults affect.
+func Run(scenario Scenario, policy Policy, size Size, seed uint64) Outcome {
+	f := newFleet(policy, size, seed)
 	f.runPhase(scenario.WarmUp, nil)
 	f.outcome = Outcome{}
 	f.measurementStart = f.now
-	transitions := scenario.faultTransitions(int(seed % uint64(engines)))
+	transitions := scenario.faultTransitions(int(seed % uint64(size.Engines)))
 	for _, phase := range scenario.Phases {
 		transitions = f.runPhase(phase, transitions)
 	}
@@ -67,24 +99,30 @@
 	return f.outcome
 }
 
-func newFleet(policy Policy, instances, engines int, seed uint64) *Fleet {
-	f := &Fleet{random: rand.New(rand.NewPCG(seed, secondPCGSeed)), now: time.Unix(1000, 0), policy: policy, prefilledBlocks: map[uint64]bool{}}
-	for i := range engines {
-		f.engines = append(f.engines, newEngine(f.now))
+func newFleet(policy Policy, size Size, seed uint64) *Fleet {
+	f := &Fleet{size: size, random: rand.New(rand.NewPCG(seed, secondPCGSeed)), now: time.Unix(1000, 0), policy: policy, prefilledBlocks: map[uint64]bool{}}
+	for i := range size.Engines {
+		f.engines = append(f.engines, newEngine(f.now, size.Slots))
 		f.endpoints = append(f.endpoints, registrar.Endpoint{
 			ID: fmt.Sprintf("e%02d", i), Service: serviceName, Address: fmt.Sprintf("10.0.0.%d:80", i),
-			DataCentre: fmt.Sprintf("dc%d", i%dataCentreCount), Slots: engineSlots,
+			DataCentre: f.dataCentre(i), Slots: size.Slots,
 		})
 	}
-	for i := range instances {
-		instance := placer.New(placer.Settings{InstanceName: instanceName(i), DataCentre: "dc0"})
+	for i := range size.Instances {
+		instance := placer.New(placer.Settings{InstanceName: instanceName(i), DataCentre: f.dataCentre(i)})
 		instance.Configure(f.endpoints)
 		f.instances = append(f.instances, instance)
+		f.contacts = append(f.contacts, make([]contact, size.Instances))
 	}
 
 	return f
 }
 
+// dataCentre returns the data centre of an instance or engine.
+func (f *Fleet) dataCentre(index int) string {
+	return fmt.Sprintf("dc%d", index%f.size.DataCentres)
+}
+
 func instanceName(instance int) string {
 	return fmt.Sprintf("i%d", instance)
 }
@@ -108,8 +146,8 @@
 		f.advance(earliest)
 		switch earliest {
 		case nextGossip:
-			f.exchangeLoads()
-			nextGossip = nextGossip.Add(gossipInterval)
+			f.runGossipRound()
+			nextGossip = nextGossip.Add(roundInterval)
 		case nextShort:
 			f.submitShort()
 			nextShort = f.nextArrival(phase.Rates.Short)
@@ -183,9 +221,9 @@
 }
 
 // sendLoadUpdates sends an instance's local load at an engine to its peers at once,
-// if the policy does so.
+// if the policy does so and the fleet is not too large.
 func (f *Fleet) sendLoadUpdates(sender int, e *engine) {
-	if !f.policy.sendsLoadUpdates {
+	if !f.policy.sendsLoadUpdates || !spreader.SendsUpdates(len(f.instances)-1) {
 		return
 	}
 	id := f.endpoints[slices.Index(f.engines, e)].ID
@@ -197,15 +235,34 @@
 	}
 }
 
-// exchangeLoads sends each instance's loads, demands and prefills to all its peers,
-// as a round of gossip does.
-func (f *Fleet) exchangeLoads() {
-	for i, sender := range f.instances {
-		for j, receiver := range f.instances {
-			if i != j {
-				receiver.ReceiveLoads(f.now, instanceName(i), sender.LocalLoads(), sender.LocalDemands(f.now))
-				receiver.ReceivePrefills(sender.LocalPrefills(f.now))
+// runGossipRound lets each instance exchange messages with the peers that it contacted
+// longest ago. Messages arrive at once and are never lost.
+func (f *Fleet) runGossipRound() {
+	f.round++
+	peerCount := len(f.instances) - 1
+	for i := range f.instances {
+		peers := make([]int, 0, peerCount)
+		for j := range f.instances {
+			if j != i {
+				peers = append(peers, j)
 			}
 		}
+		slices.SortStableFunc(peers, func(a, b int) int { return cmp.Compare(f.contacts[i][a].lastRound, f.contacts[i][b].lastRound) })
+		for _, j := range peers[:min(peerCount, gossipFanout.PeersPerRound(peerCount))] {
+			contact := &f.contacts[i][j]
+			if spreader.CarriesLoads(peerCount, contact.exchangeCount) {
+				f.sendLoads(i, j)
+				f.sendLoads(j, i)
+			}
+			contact.lastRound = f.round
+			contact.exchangeCount++
+		}
 	}
 }
+
+// sendLoads sends an instance's loads, demands and prefills to a peer.
+func (f *Fleet) sendLoads(sender, receiver int) {
+	from, to := f.instances[sender], f.instances[receiver]
+	to.ReceiveLoads(f.now, instanceName(sender), from.LocalLoads(), from.LocalDemands(f.now))
+	to.ReceivePrefills(from.LocalPrefills(f.now))
+}
--- a/internal/lab/simulator/outcome.go
+++ b/internal/lab/simulator/outcome.go
@@ -11,6 +11,9 @@
 	// Refused counts requests that no engine took, Lost those that were aborted
 	// by a crash or timed out at an engine.
 	Refused, Lost int
+	// AvoidableRefusals counts how often an engine with a full queue refused a
+	// request while another engine had a free slot.
+	AvoidableRefusals int
 	// PrefilledTokens counts the prompt tokens that engines prefilled;
 	// RepeatedPrefixTokens those of shared prefixes that some engine had prefilled
 	// before.
@@ -42,6 +45,7 @@
 	o.LateLong += other.LateLong
 	o.Refused += other.Refused
 	o.Lost += other.Lost
+	o.AvoidableRefusals += other.AvoidableRefusals
 	o.PrefilledTokens += other.PrefilledTokens
 	o.RepeatedPrefixTokens += other.RepeatedPrefixTokens
 
@@ -55,6 +59,6 @@
 
 // String returns the counts as one line.
 func (o Outcome) String() string {
-	return fmt.Sprintf("%d of %d short late, %d of %d long late, %d refused, %d lost, %d tokens read, %d of shared parts again",
-		o.LateShort, o.FinishedShort, o.LateLong, o.FinishedLong, o.Refused, o.Lost, o.PrefilledTokens, o.RepeatedPrefixTokens)
+	return fmt.Sprintf("%d of %d short late, %d of %d long late, %d refused, %d refusals beside a free slot, %d lost, %d tokens read, %d of shared parts again",
+		o.LateShort, o.FinishedShort, o.LateLong, o.FinishedLong, o.Refused, o.AvoidableRefusals, o.Lost, o.PrefilledTokens, o.RepeatedPrefixTokens)
 }
--- a/internal/lab/simulator/request.go
+++ b/internal/lab/simulator/request.go
@@ -18,7 +18,7 @@
 // newLongRequest draws a request with a long prompt of a random prefix group, and its
 // output tokens. The given fraction of requests belongs to group 1 instead.
 func (f *Fleet) newLongRequest(hotGroupFraction float64) (placer.Request, int) {
-	prefixGroup := uint64(1 + f.random.IntN(prefixGroupCount))
+	prefixGroup := uint64(1 + f.random.IntN(f.size.PrefixGroups))
 	suffixTokens := minLongSuffixTokens + int(f.random.ExpFloat64()*meanExtraLongSuffixTokens)
 	if hotGroupFraction > 0 && f.random.Float64() < hotGroupFraction {
 		prefixGroup = 1
@@ -41,7 +41,7 @@
 }
 
 // submit sends a request to a random instance, which places it on an engine. An
-// engine that refuses connections is avoided in the next attempt.
+// engine that refuses it or the connection is avoided in the next attempt.
 func (f *Fleet) submit(request placer.Request, outputTokens int, isLong bool) {
 	f.requestCount++
 	instance := f.random.IntN(len(f.instances))
@@ -56,12 +56,20 @@
 
 			return
 		}
-		if e := f.engines[engineIndex]; !e.down {
+		e := f.engines[engineIndex]
+		switch {
+		case e.down:
+			f.instances[instance].RecordResult(f.now, s.id, placer.Unreachable)
+		case e.isFull():
+			f.instances[instance].RecordResult(f.now, s.id, placer.Refused)
+			if slices.ContainsFunc(f.engines, (*engine).hasFreeSlot) {
+				f.outcome.AvoidableRefusals++
+			}
+		default:
 			f.enqueue(s, e, cacheSource)
 
 			return
 		}
-		f.instances[instance].RecordResult(f.now, s.id, placer.Unreachable)
 		request.AvoidEndpoints = append(slices.Clone(request.AvoidEndpoints), f.endpoints[engineIndex].ID)
 	}
 	f.outcome.Refused++
--- a/internal/lab/simulator/scenario.go
+++ b/internal/lab/simulator/scenario.go
@@ -45,33 +45,54 @@
 	recoveryDuration = 6 * time.Second // at the usual rates, after a surge
 )
 
-// surgeScenario returns a scenario that has the given rates for a while, after which
-// the usual load returns.
-func surgeScenario(name string, rates Rates, faults ...Fault) Scenario {
+// surgeScenario returns a scenario that has the given rates for a while, between
+// phases of usual load.
+func surgeScenario(name string, usual, rates Rates, faults ...Fault) Scenario {
 	return Scenario{
 		Name:   name,
-		WarmUp: Phase{Duration: warmUpDuration, Rates: usualRates},
-		Phases: []Phase{{Duration: surgeDuration, Rates: rates}, {Duration: recoveryDuration, Rates: usualRates}},
+		WarmUp: Phase{Duration: warmUpDuration, Rates: usual},
+		Phases: []Phase{{Duration: surgeDuration, Rates: rates}, {Duration: recoveryDuration, Rates: usual}},
 		Faults: faults,
 	}
 }
 
+// grownUsualRates is the usual load of a fleet of GrownSize.
+var grownUsualRates = Rates{Short: 140, Long: 160}
+
+// GrownScenarios returns the patterns of load and faults of a fleet of GrownSize. The
+// names are those of the same patterns of a small fleet.
+func GrownScenarios() []Scenario {
+	surge := func(name string, rates Rates, faults ...Fault) Scenario {
+		return surgeScenario(name, grownUsualRates, rates, faults...)
+	}
+
+	return []Scenario{
+		surge("calm day", grownUsualRates),
+		surge("burst of long prompts", Rates{Short: 140, Long: 400}),
+		surge("burst of short prompts", Rates{Short: 400, Long: 160}),
+		surge("engines crash in a burst", Rates{Short: 140, Long: 240}, Fault{Start: 3 * time.Second, Duration: 2 * time.Second, EngineCount: 22}),
+	}
+}
+
 // Scenarios returns the patterns of load and faults that cause most missed requests on
 // busy days.
 func Scenarios() []Scenario {
-	hotGroup := surgeScenario("hot family", Rates{Short: 35, Long: 30})
+	surge := func(name string, rates Rates, faults ...Fault) Scenario {
+		return surgeScenario(name, usualRates, rates, faults...)
+	}
+	hotGroup := surge("hot family", Rates{Short: 35, Long: 30})
 	hotGroup.Phases[0].HotGroupFraction = 0.4
-	coldStart := surgeScenario("cold start", Rates{Short: 35, Long: 45})
+	coldStart := surge("cold start", Rates{Short: 35, Long: 45})
 	coldStart.WarmUp.Duration = 0
 
 	return []Scenario{
-		surgeScenario("calm day", usualRates),
-		surgeScenario("burst of long prompts", Rates{Short: 35, Long: 45}),
-		surgeScenario("burst of short prompts", Rates{Short: 95, Long: 20}),
-		surgeScenario("both surge", Rates{Short: 70, Long: 40}),
+		surge("calm day", usualRates),
+		surge("burst of long prompts", Rates{Short: 35, Long: 45}),
+		surge("burst of short prompts", Rates{Short: 95, Long: 20}),
+		surge("both surge", Rates{Short: 70, Long: 40}),
 		hotGroup,
 		coldStart,
-		surgeScenario("engines crash in a burst", Rates{Short: 35, Long: 40}, Fault{Start: 3 * time.Second, Duration: 2 * time.Second, EngineCount: 2}),
-		surgeScenario("an engine goes dark", Rates{Short: 50, Long: 20}, Fault{Start: 3 * time.Second, Duration: 4 * time.Second, EngineCount: 1, Unresponsive: true}),
+		surge("engines crash in a burst", Rates{Short: 35, Long: 40}, Fault{Start: 3 * time.Second, Duration: 2 * time.Second, EngineCount: 2}),
+		surge("an engine goes dark", Rates{Short: 50, Long: 20}, Fault{Start: 3 * time.Second, Duration: 4 * time.Second, EngineCount: 1, Unresponsive: true}),
 	}
 }
--- a/internal/lab/simulator/simulator_test.go
+++ b/internal/lab/simulator/simulator_test.go
@@ -8,15 +8,11 @@
 	"github.com/oleanderpick/oleanderpick/internal/lab/simulator"
 )
 
-const (
-	instances = 7
-	engines   = 9
-	seed      = 1
-)
+const seed = 1
 
 // simulate returns the outcome of a scenario with the test's fleet and seed.
 func simulate(scenario simulator.Scenario, policy simulator.Policy) simulator.Outcome {
-	return simulator.Run(scenario, policy, instances, engines, seed)
+	return simulator.Run(scenario, policy, simulator.SmallSize(), seed)
 }
 
 // In a surge, fewer requests must be late or refused than with the naive baselines. In
@@ -64,8 +60,8 @@
 		t.Run(scenario.Name, func(t *testing.T) {
 			missed := map[string]int{}
 			for _, policy := range []simulator.Policy{simulator.RouterPlacer(), simulator.RoundRobin(), simulator.FixedSplit()} {
-				for faultSeed := range uint64(engines) {
-					outcome := simulator.Run(scenario, policy, instances, engines, faultSeed)
+				for faultSeed := range uint64(simulator.SmallSize().Engines) {
+					outcome := simulator.Run(scenario, policy, simulator.SmallSize(), faultSeed)
 					missed[policy.Name] += outcome.Missed()
 				}
 			}
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -22,6 +22,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/spreader"
 )
 
 const (
@@ -31,10 +32,6 @@
 	// maxDatagramBytes is the size of the largest load update that can be received. An
 	// update consists of two names and three numbers.
 	maxDatagramBytes = 1200
-	// maxPeers is the number of live peers above which no load updates are sent. In a
-	// larger fleet each instance causes a smaller part of an engine's load, while the
-	// cost of updates for each instance grows with the number of instances.
-	maxPeers = 12
 	// readRetryDelay is the time between a failed read of the socket and the next one.
 	readRetryDelay = 100 * time.Millisecond
 )
@@ -124,10 +121,10 @@
 	}
 }
 
-// send sends a load update to the live peers, unless there are more than maxPeers.
+// send sends a load update to the live peers, unless the fleet is too large for updates.
 func (n *Notifier) send(update loadUpdate) {
 	peerAddresses := n.memberList.Addresses()
-	if len(peerAddresses) > maxPeers {
+	if !spreader.SendsUpdates(len(peerAddresses)) {
 		return
 	}
 	datagram, err := proto.Marshal(&gossipwire.Message{
