--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -120,7 +120,8 @@
 }
 
 // OnLoadChange sets the function that is called with this instance's load at an engine
-// whenever a long enough prompt is sent to the engine, and when its first event comes.
+// whenever a prompt is sent to the engine, when the first event of a long enough prompt
+// comes, and when an answer ends.
 // The function must not block. Call OnLoadChange before Serve.
 func (d *Dispatcher) OnLoadChange(callback func(endpoint string, load placer.Load)) {
 	d.onLoadChange = callback
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -140,13 +140,26 @@
 	return stored, registry
 }
 
-// SetInstanceCountAndRank sets the number of instances, including this one, and this
-// instance's rank: the number of live instances that come before it.
-func (d *Dispatcher) SetInstanceCountAndRank(instanceCount, rank int) {
-	d.instanceCount.Store(int64(instanceCount))
+// Fleet is what an instance knows of all instances.
+type Fleet struct {
+	// InstanceCount is the number of instances, including this one.
+	InstanceCount int
+	// Rank is the number of live instances that come before this one.
+	Rank int
+	// IsDivided reports whether instances share their loads only within their data
+	// centres.
+	IsDivided bool
+}
+
+// SetFleet sets what is known of all instances.
+func (d *Dispatcher) SetFleet(fleet Fleet) {
+	d.instanceCount.Store(int64(fleet.InstanceCount))
 	d.runAndWait(func() {
-		d.repeatLimiter.SetInstanceCount(instanceCount)
-		d.rank = rank
+		d.repeatLimiter.SetInstanceCount(fleet.InstanceCount)
+		d.rank = fleet.Rank
+		if d.placer.PreferOwnDataCentre(fleet.IsDivided) {
+			d.logger.Info("Scope of placement changed.", "own data centre first", fleet.IsDivided, "instances", fleet.InstanceCount)
+		}
 	})
 }
 
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -49,18 +49,21 @@
 func (d *Dispatcher) RecordFirstEvent(placement Placement) {
 	d.runAndWait(func() {
 		d.placer.RecordFirstEvent(d.clock.Now(), placement.attemptID)
-		d.reportLoadChange(placement)
+		if placement.UncachedTokens >= minUncachedTokensToReport {
+			d.reportLoadChange(placement)
+		}
 	})
 }
 
-// minUncachedTokensToReport is the number of uncached prompt tokens from which a placement
-// is reported to peers at once. An engine prefills fewer tokens in about 5 ms.
+// minUncachedTokensToReport is the number of uncached prompt tokens from which the end of
+// their prefill is reported to peers at once. An engine prefills fewer tokens in about
+// 5 ms.
 const minUncachedTokensToReport = 256
 
-// reportLoadChange passes this instance's load at the placement's engine to the function
-// that OnLoadChange set, if the engine has enough tokens of the prompt to prefill.
+// reportLoadChange passes this instance's load at the placement's endpoint to the function
+// that OnLoadChange set, if the endpoint is an engine.
 func (d *Dispatcher) reportLoadChange(placement Placement) {
-	if placement.UncachedTokens >= minUncachedTokensToReport {
+	if placement.HasPrompt {
 		d.onLoadChange(placement.EndpointID, d.placer.LocalLoad(placement.EndpointID))
 	}
 }
@@ -80,7 +83,10 @@
 
 // RecordResult records how the attempt ended.
 func (d *Dispatcher) RecordResult(placement Placement, result placer.Result) {
-	d.runAndWait(func() { d.placer.RecordResult(d.clock.Now(), placement.attemptID, result) })
+	d.runAndWait(func() {
+		d.placer.RecordResult(d.clock.Now(), placement.attemptID, result)
+		d.reportLoadChange(placement)
+	})
 }
 
 // TakeRepeat decides whether a request may be sent to an endpoint once more. It returns
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -27,6 +27,8 @@
 	// Name is this instance's name, Address the host and port at which its peers
 	// reach it.
 	Name, Address string
+	// DataCentre is the one that this instance runs in.
+	DataCentre string
 	// Incarnation distinguishes the starts of this instance and grows with each.
 	Incarnation uint64
 	// Seeds are addresses of some peers. They may be out of date.
@@ -91,6 +93,7 @@
 type peer struct {
 	address       string
 	name          string
+	dataCentre    string
 	incarnation   uint64
 	leaving       bool
 	lastMessageAt time.Time // when its last message arrived
@@ -101,6 +104,11 @@
 	sendLoads     bool // the exchange in progress carries this instance's loads
 }
 
+// isLocal reports whether the peer is known to be in this instance's data centre.
+func (g *Gossiper) isLocal(p *peer) bool {
+	return p.dataCentre != "" && p.dataCentre == g.settings.DataCentre
+}
+
 // New returns a Gossiper whose only peers are the seeds. Serve runs its rounds,
 // Handler serves its peers. The decoder reads configurations fetched from peers.
 func New(settings Settings, dispatcher *dispatcher.Dispatcher, decoder ConfigurationDecoder, client *http.Client, counters *meter.Meter, logger hclog.Logger) *Gossiper {
@@ -155,8 +163,8 @@
 	g.leaving = true
 }
 
-// Serve starts a round at each interval until ctx ends. After each it passes the
-// number of instances and this instance's rank to the dispatcher.
+// Serve starts a round at each interval until ctx ends. After each it passes what it
+// knows of the fleet to the dispatcher.
 func (g *Gossiper) Serve(ctx context.Context) error {
 	defer close(g.done)
 	ticker := time.NewTicker(g.settings.RoundInterval)
@@ -169,29 +177,29 @@
 			for _, selected := range g.selectPeers(now) {
 				go g.exchangeWith(ctx, selected)
 			}
-			g.dispatcher.SetInstanceCountAndRank(g.countInstancesAndRank(now))
+			g.dispatcher.SetFleet(g.describeFleet(now))
 		}
 	}
 }
 
-// countInstancesAndRank returns the number of instances, including this one, and
-// the number of those that come before it by name, are not leaving and sent a
-// message within rankTimeout. Addresses without a name count as instances until
-// livenessTimeout after they were added.
-func (g *Gossiper) countInstancesAndRank(now time.Time) (instanceCount, rank int) {
+// describeFleet returns the number of instances, including this one, the number of
+// those that come before it by name, are not leaving and sent a message within
+// rankTimeout, and whether the fleet is divided. Addresses without a name count as
+// instances until livenessTimeout after they were added.
+func (g *Gossiper) describeFleet(now time.Time) dispatcher.Fleet {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	instanceCount = 1
+	described := dispatcher.Fleet{InstanceCount: 1, IsDivided: g.fleet().IsDivided()}
 	for _, p := range g.peers {
 		if now.Sub(p.lastMessageAt) < removalTimeout || (p.name == "" && now.Sub(p.addedAt) < livenessTimeout) {
-			instanceCount++
+			described.InstanceCount++
 		}
 		if p.name != "" && p.name < g.settings.Name && !p.leaving && now.Sub(p.lastMessageAt) < rankTimeout {
-			rank++
+			described.Rank++
 		}
 	}
 
-	return instanceCount, rank
+	return described
 }
 
 // exchangeWith sends a message to a peer and processes the answer. It then fetches
@@ -200,7 +208,7 @@
 	ctx, cancel := context.WithTimeout(ctx, g.settings.ExchangeTimeout)
 	defer cancel()
 	sentAt := g.dispatcher.SinceBoot()
-	reply, err := gossipwire.NewGossipProtobufClient("http://"+p.address, g.client).Exchange(ctx, g.buildMessage(0, p.sendLoads))
+	reply, err := gossipwire.NewGossipProtobufClient("http://"+p.address, g.client).Exchange(ctx, g.buildMessage(p.address, 0, p.sendLoads))
 	g.mu.Lock()
 	p.exchanging = false
 	g.mu.Unlock()
@@ -246,9 +254,10 @@
 	}
 	if p.incarnation != message.GetIncarnation() || p.leaving != message.GetLeaving() {
 		g.logger.Info("Peer was discovered or changed.", "peer", message.GetName(), "address", p.address,
-			"incarnation", message.GetIncarnation(), "leaving", message.GetLeaving())
+			"data centre", message.GetDataCentre(), "incarnation", message.GetIncarnation(), "leaving", message.GetLeaving())
 	}
-	p.name, p.incarnation, p.leaving, p.lastMessageAt = message.GetName(), message.GetIncarnation(), message.GetLeaving(), now
+	p.name, p.dataCentre, p.lastMessageAt = message.GetName(), message.GetDataCentre(), now
+	p.incarnation, p.leaving = message.GetIncarnation(), message.GetLeaving()
 
 	return true
 }
@@ -263,5 +272,5 @@
 func (s *gossipServer) Exchange(_ context.Context, message *gossipwire.Message) (*gossipwire.Message, error) {
 	s.gossiper.receiveMessage(message)
 
-	return s.gossiper.buildMessage(int(message.GetKnown()), !message.GetBrief()), nil
+	return s.gossiper.buildMessage(message.GetAddress(), int(message.GetKnown()), !message.GetBrief()), nil
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -41,6 +42,11 @@
 
 const keyLease = 5 * time.Second
 
+// dataCentre returns the data centre of an instance, one of two.
+func dataCentre(index int) string {
+	return fmt.Sprintf("dc%d", index%2)
+}
+
 // runFleet runs a test in virtual time with instances i0, i1 and so on, connected by
 // an in-process network. Their seeds are i0 and an address at which nobody answers.
 // The test gets a clock that also counts suspended time.
@@ -59,6 +65,7 @@
 			}, dispatcher.Clock{Now: time.Now, SinceBoot: sinceBoot}, hclog.NewNullLogger())
 			settings := gossiper.DefaultSettings()
 			settings.Name, settings.Address, settings.Incarnation = name, name+":80", 1
+			settings.DataCentre = dataCentre(i)
 			settings.Seeds = []string{"i0:80", "gone:80"}
 			g := gossiper.New(settings, d, decimalDecoder{}, network.Client(), meter.New(), hclog.NewNullLogger())
 			network.Serve(name, g.Handler())
@@ -222,6 +229,31 @@
 	})
 }
 
+// Guards against instances of a large fleet not knowing the loads of those beside which
+// they place requests, and against updates whose cost grows with the fleet: in a small
+// fleet all live peers get load updates, in a large one those of the data centre do.
+func TestLoadUpdatesGoToDataCentreOfLargeFleet(t *testing.T) {
+	for _, size := range []int{5, 30} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			runFleet(t, size, func(t *testing.T, _ *piper.Network, instances []testInstance, _ func() time.Duration) {
+				time.Sleep(6 * time.Second)
+				for i, instance := range instances {
+					var want []string
+					for j := range instances {
+						if j != i && (size == 5 || dataCentre(j) == dataCentre(i)) {
+							want = append(want, fmt.Sprintf("i%d:80", j))
+						}
+					}
+					got := instance.gossiper.UpdateAddresses()
+					slices.Sort(want)
+					slices.Sort(got)
+					assert.DeepEqual(t, got, want)
+				}
+			})
+		})
+	}
+}
+
 // The incarnation of an instance is lower after a restart if its machine's time of
 // day went back meanwhile. Peers accept its messages once its earlier incarnation
 // has sent none for a while.
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -9,15 +9,21 @@
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 )
 
-// buildMessage returns this instance's message to a peer that knows the given number
-// of live addresses. It lists the live peers' addresses if the recipient knows
-// fewer, and this instance's loads and demands if includeLoads is set.
-func (g *Gossiper) buildMessage(recipientAddressCount int, includeLoads bool) *gossipwire.Message {
+// buildMessage returns this instance's message to the peer at an address that knows the
+// given number of live addresses. It lists the live peers' addresses if the recipient
+// knows fewer, and this instance's loads if includeLoads is set, with its demands if the
+// recipient uses them.
+func (g *Gossiper) buildMessage(recipient string, recipientAddressCount int, includeLoads bool) *gossipwire.Message {
 	state := g.dispatcher.BuildMessage()
 	addresses := g.Addresses()
 	g.mu.Lock()
 	leaving := g.leaving
+	p := g.peers[recipient]
+	sharesEngines := g.fleet().SharesEngines(p != nil && g.isLocal(p))
 	g.mu.Unlock()
+	if !sharesEngines {
+		state.Demands = nil
+	}
 	message := &gossipwire.Message{
 		Name:        g.settings.Name,
 		Address:     g.settings.Address,
@@ -25,6 +31,7 @@
 		Leaving:     leaving,
 		Known:       uint32(len(addresses)),
 		Brief:       !includeLoads,
+		DataCentre:  g.settings.DataCentre,
 
 		Number:         state.Versions.ConfigurationNumber,
 		AgeMs:          toMilliseconds(state.Versions.ConfigurationAge),
--- a/internal/gossiper/selection.go
+++ b/internal/gossiper/selection.go
@@ -35,18 +35,66 @@
 
 		return strings.Compare(a.address, b.address)
 	})
+	fleet := g.fleet()
 	if g.roundCount > startupRounds {
-		due = due[:min(len(due), g.settings.Fanout.PeersPerRound(len(g.peers)))]
+		due = g.limitToFanout(due, fleet)
 	}
 	for _, p := range due {
 		p.exchanging, p.lastAttemptAt = true, now
-		p.sendLoads = spreader.CarriesLoads(len(g.peers), p.exchangeCount)
+		p.sendLoads = fleet.CarriesLoads(g.isLocal(p), p.exchangeCount)
 		p.exchangeCount++
 	}
 
 	return due
 }
 
+// limitToFanout returns the first of the due peers, as many as are contacted in a round.
+// In a divided fleet, a part of them is local, if so many are due.
+func (g *Gossiper) limitToFanout(due []*peer, fleet spreader.Fleet) []*peer {
+	peerCount, localCount := fleet.PeersPerRound(g.settings.Fanout)
+	selected := make([]*peer, 0, peerCount)
+	for _, p := range due {
+		if len(selected) < localCount && g.isLocal(p) {
+			selected = append(selected, p)
+		}
+	}
+	for _, p := range due {
+		if len(selected) < peerCount && !slices.Contains(selected, p) {
+			selected = append(selected, p)
+		}
+	}
+
+	return selected
+}
+
+// fleet returns the numbers of peers. The caller holds the lock.
+func (g *Gossiper) fleet() spreader.Fleet {
+	fleet := spreader.Fleet{Peers: len(g.peers)}
+	for _, p := range g.peers {
+		if g.isLocal(p) {
+			fleet.LocalPeers++
+		}
+	}
+
+	return fleet
+}
+
+// UpdateAddresses returns the addresses of the live peers that get load updates at once.
+func (g *Gossiper) UpdateAddresses() []string {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	fleet := g.fleet()
+	var addresses []string
+	for address, p := range g.peers {
+		if now.Sub(p.lastMessageAt) < livenessTimeout && fleet.SharesEngines(g.isLocal(p)) {
+			addresses = append(addresses, address)
+		}
+	}
+
+	return addresses
+}
+
 // Addresses returns the addresses of the peers that sent a message within
 // livenessTimeout.
 func (g *Gossiper) Addresses() []string {
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -1,6 +1,6 @@
 // Package notifier sends load updates to the other instances: datagrams with the sender's
-// current load at one engine, sent at once when a prompt goes to the engine or its
-// prefill ends.
+// current load at one engine, sent at once when a prompt goes to the engine, when its
+// prefill ends and when its answer ends.
 //
 // The gossiper's messages contain all loads, but are exchanged only a few times a second.
 // Between two messages, several instances could choose the same engine because it looks
@@ -22,7 +22,6 @@
 	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
-	"github.com/oleanderpick/oleanderpick/pkg/spreader"
 )
 
 const (
@@ -36,10 +35,10 @@
 	readRetryDelay = 100 * time.Millisecond
 )
 
-// MemberList lists the peers that are believed live.
-type MemberList interface {
-	// Addresses returns the peers' addresses for gossip messages, as IP:PORT.
-	Addresses() []string
+// RecipientList lists the live peers that get load updates.
+type RecipientList interface {
+	// UpdateAddresses returns the peers' addresses for gossip messages, as IP:PORT.
+	UpdateAddresses() []string
 }
 
 // LoadReceiver uses the load updates that peers send.
@@ -53,7 +52,7 @@
 	instanceName string
 	port         uint16
 	conn         net.PacketConn
-	memberList   MemberList
+	recipients   RecipientList
 	receiver     LoadReceiver
 	counters     *meter.Meter
 	logger       hclog.Logger
@@ -70,9 +69,9 @@
 // New returns a notifier for the named instance. It receives load updates on conn and
 // passes them to receiver. All instances must listen on the same port. counters count the
 // updates that are dropped, not sent or unreadable.
-func New(instanceName string, port uint16, conn net.PacketConn, memberList MemberList, receiver LoadReceiver, counters *meter.Meter, logger hclog.Logger) *Notifier {
+func New(instanceName string, port uint16, conn net.PacketConn, recipients RecipientList, receiver LoadReceiver, counters *meter.Meter, logger hclog.Logger) *Notifier {
 	return &Notifier{
-		instanceName: instanceName, port: port, conn: conn, memberList: memberList, receiver: receiver, counters: counters, logger: logger,
+		instanceName: instanceName, port: port, conn: conn, recipients: recipients, receiver: receiver, counters: counters, logger: logger,
 		queue: make(chan loadUpdate, maxQueuedUpdates), done: make(chan struct{}),
 	}
 }
@@ -121,12 +120,9 @@
 	}
 }
 
-// send sends a load update to the live peers, unless the fleet is too large for updates.
+// send sends a load update to its recipients.
 func (n *Notifier) send(update loadUpdate) {
-	peerAddresses := n.memberList.Addresses()
-	if !spreader.SendsUpdates(len(peerAddresses)) {
-		return
-	}
+	peerAddresses := n.recipients.UpdateAddresses()
 	datagram, err := proto.Marshal(&gossipwire.Message{
 		Name:  n.instanceName,
 		Loads: []*gossipwire.Load{gossiper.EncodeLoad(update.endpoint, update.load)},
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -130,7 +130,7 @@
 // and seeds.
 func (r *Runner) newGossiper(decoder gossiper.ConfigurationDecoder, counters *meter.Meter, logger hclog.Logger) *gossiper.Gossiper {
 	settings := gossiper.DefaultSettings()
-	settings.Name, settings.Address = r.settings.Name, r.settings.PeerListen
+	settings.Name, settings.Address, settings.DataCentre = r.settings.Name, r.settings.PeerListen, r.settings.DataCentre
 	settings.Incarnation = uint64(time.Now().UnixNano())
 	settings.Seeds = r.settings.SeedAddresses()
 	client := &http.Client{Transport: &http.Transport{
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -56,6 +56,11 @@
 	return e.Slots
 }
 
+// isFull reports whether the engine has no free slot.
+func (e *endpoint) isFull() bool {
+	return e.totalLoad().RunningRequests >= e.slotsOrDefault()
+}
+
 // canAccept reports whether the endpoint is expected to accept a request now: it is
 // not ejected, did not just refuse one, and is not silent.
 func (e *endpoint) canAccept(now time.Time) bool {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -16,6 +16,9 @@
 	services  map[string]*service         // by name
 	inFlight  map[uint64]*inFlightRequest // local requests by ID
 	peerLoads peerLoads
+	// prefersOwnDataCentre is true if the loads at engines elsewhere are known late.
+	prefersOwnDataCentre bool
+	sampleCount          uint64 // random samples of engines drawn so far
 }
 
 // inFlightRequest is a local request that was sent to an endpoint and has no result
@@ -69,6 +72,17 @@
 	}
 }
 
+// PreferOwnDataCentre sets whether prompts go to engines in other data centres only if
+// those in the own one are full or would be late. That is right in a fleet whose
+// instances learn the loads at engines elsewhere late. It reports whether this is a
+// change.
+func (p *Placer) PreferOwnDataCentre(preferred bool) (changed bool) {
+	changed = p.prefersOwnDataCentre != preferred
+	p.prefersOwnDataCentre = preferred
+
+	return changed
+}
+
 func (p *Placer) getOrCreateService(name string) *service {
 	s := p.services[name]
 	if s == nil {
@@ -98,9 +112,50 @@
 		return Choice{EndpointID: e.ID, Address: e.Address, KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre}, true
 	}
 
+	if p.prefersOwnDataCentre {
+		return p.pickOwnDataCentreFirst(s), true
+	}
+
 	return s.pickEngine(), true
 }
 
+// pickOwnDataCentreFirst chooses an engine of the own data centre, unless the request
+// would be late there and clearly sooner at one of a few engines elsewhere. These are
+// drawn at random: their loads are known late, so that the best of all would get the
+// requests of many instances at once.
+func (p *Placer) pickOwnDataCentreFirst(s search) Choice {
+	local := s.restrict(func(e *endpoint) bool { return e.DataCentre == s.dataCentre })
+	if len(local.accepting()) == 0 {
+		return s.pickEngine()
+	}
+	choice := local.pickEngine()
+	if !s.isLate(choice) {
+		return choice
+	}
+	remote := s.restrict(func(e *endpoint) bool { return e.DataCentre != s.dataCentre })
+	remote.candidates = p.sample(remote.accepting(), remoteSampleSize)
+	if len(remote.candidates) == 0 {
+		return choice
+	}
+	alternative := remote.pickAlternative()
+	if alternative.ExpectedTimeToFirstToken+minMoveGain < choice.ExpectedTimeToFirstToken {
+		return alternative
+	}
+
+	return choice
+}
+
+// sample returns up to count of the endpoints, drawn by a hash of this instance's name
+// and of the number of samples before.
+func (p *Placer) sample(endpoints []*endpoint, count int) []*endpoint {
+	p.sampleCount++
+	seed := rankHash(p.settings.InstanceName, p.sampleCount)
+	drawn := slices.Clone(endpoints)
+	slices.SortFunc(drawn, func(a, b *endpoint) int { return cmp.Compare(a.rank^seed, b.rank^seed) })
+
+	return drawn[:min(count, len(drawn))]
+}
+
 // ShouldPostpone reports whether a request for which Pick made a choice should be
 // refused now, and after how long the caller should try again. When a backlog makes
 // every long prompt late, postponing some of them lets the others be on time. A
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -72,6 +72,8 @@
 	// InOtherDataCentre reports whether the endpoint is outside this instance's
 	// data centre.
 	InOtherDataCentre bool
+	// HasPrompt is false for plain services.
+	HasPrompt bool
 	// IsLongPrompt reports whether the prompt counts as long.
 	IsLongPrompt bool
 	// Split is the number of engines in the short group, out of EngineCount
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -26,30 +26,50 @@
 	s.candidates = s.usable(s.eligible)
 }
 
+// restrict returns a search among the eligible endpoints for which isIncluded is true.
+func (s *search) restrict(isIncluded func(*endpoint) bool) *search {
+	restricted := &search{service: s.service, request: s.request, now: s.now, dataCentre: s.dataCentre}
+	for _, e := range s.eligible {
+		if isIncluded(e) {
+			restricted.eligible = append(restricted.eligible, e)
+		}
+	}
+	restricted.candidates = restricted.usable(restricted.eligible)
+
+	return restricted
+}
+
 // usable returns the endpoints that are expected to accept the request. If there are
 // none, it returns those that the request has not been sent to yet, and if there are
 // none of these either, all endpoints: a wrong judgement of the endpoints' health
 // must not make the service unavailable.
 func (s *search) usable(endpoints []*endpoint) []*endpoint {
+	untried := slices.DeleteFunc(slices.Clone(endpoints), func(e *endpoint) bool { return slices.Contains(s.request.AvoidEndpoints, e.ID) })
+	if accepting := s.acceptingOf(untried); len(accepting) > 0 {
+		return accepting
+	}
+	if len(untried) > 0 {
+		return untried
+	}
+
+	return endpoints
+}
+
+// accepting returns the candidates that are expected to accept the request.
+func (s *search) accepting() []*endpoint {
+	return s.acceptingOf(s.candidates)
+}
+
+func (s *search) acceptingOf(endpoints []*endpoint) []*endpoint {
 	maxFailureRatio := s.service.meanFailureRatio() + maxExcessFailureRatio
-	var untried, accepting []*endpoint
+	var accepting []*endpoint
 	for _, e := range endpoints {
-		if slices.Contains(s.request.AvoidEndpoints, e.ID) {
-			continue
-		}
-		untried = append(untried, e)
-		if e.canAccept(s.now) && e.failureRatio <= maxFailureRatio {
+		if e.canAccept(s.now) && e.failureRatio <= maxFailureRatio && !slices.Contains(s.request.AvoidEndpoints, e.ID) {
 			accepting = append(accepting, e)
 		}
 	}
-	switch {
-	case len(accepting) > 0:
-		return accepting
-	case len(untried) > 0:
-		return untried
-	}
 
-	return endpoints
+	return accepting
 }
 
 // meanFailureRatio returns the mean failure ratio of the service's endpoints.
@@ -94,11 +114,10 @@
 
 // pickEngine chooses an engine for a request that has a prompt.
 func (s *search) pickEngine() Choice {
-	isLongPrompt := s.request.PromptTokens >= s.service.minLongPromptTokens
 	split := s.service.split(s.now, len(s.eligible))
 	candidateSplit := s.scaleSplit(split)
 	var e *endpoint
-	if isLongPrompt {
+	if s.isLongPrompt() {
 		e = s.pickForLongPrompt(s.candidates[candidateSplit:])
 	} else {
 		e = s.overflowIfLate(s.leastBusy(s.withFreeSlot(s.candidates[:candidateSplit])), s.candidates[candidateSplit:])
@@ -106,6 +125,41 @@
 	if e == nil {
 		e = s.leastBusy(s.candidates)
 	}
+
+	return s.newChoice(e, split)
+}
+
+// pickAlternative chooses one of the candidates for a request that would be late at the
+// engines of its group.
+func (s *search) pickAlternative() Choice {
+	if s.isLongPrompt() {
+		return s.newChoice(cheapest(s.candidates, func(e *endpoint) float64 { return s.longPromptCost(e).Seconds() }), 0)
+	}
+
+	return s.newChoice(s.leastBusy(s.withFreeSlot(s.candidates)), 0)
+}
+
+func (s *search) isLongPrompt() bool {
+	return s.request.PromptTokens >= s.service.minLongPromptTokens
+}
+
+// isLate reports whether the request would probably miss its target at the chosen
+// engine, or has to wait for a slot there.
+func (s *search) isLate(choice Choice) bool {
+	if s.endpointOf(choice).isFull() {
+		return true
+	}
+	target := s.request.TargetTimeToFirstToken
+
+	return target > 0 && choice.ExpectedTimeToFirstToken >= time.Duration(lateFraction*float64(target))
+}
+
+func (s *search) endpointOf(choice Choice) *endpoint {
+	return s.eligible[slices.IndexFunc(s.eligible, func(e *endpoint) bool { return e.ID == choice.EndpointID })]
+}
+
+// newChoice returns the choice of an engine, with what is predicted there.
+func (s *search) newChoice(e *endpoint, split int) Choice {
 	uncachedTokens := s.uncachedTokens(e)
 	source := s.cacheSource(e)
 	if source != nil {
@@ -115,7 +169,8 @@
 	return Choice{
 		CacheSourceAddress: addressOf(source),
 		EndpointID:         e.ID, Address: e.Address, ExpectedTimeToFirstToken: s.timeToFirstToken(e, uncachedTokens),
-		UncachedTokens: uncachedTokens, PrefillTime: s.service.prefillTime(uncachedTokens), IsLongPrompt: isLongPrompt,
+		UncachedTokens: uncachedTokens, PrefillTime: s.service.prefillTime(uncachedTokens), IsLongPrompt: s.isLongPrompt(),
+		HasPrompt: true,
 		KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre, Split: split, EngineCount: len(s.eligible),
 	}
 }
@@ -166,11 +221,10 @@
 // withFreeSlot returns the engines of a group that have a free slot. If there are
 // none, it returns all candidates with a free slot, or else the whole group.
 func (s *search) withFreeSlot(group []*endpoint) []*endpoint {
-	isFull := func(e *endpoint) bool { return e.totalLoad().RunningRequests >= e.slotsOrDefault() }
-	if free := slices.DeleteFunc(slices.Clone(group), isFull); len(free) > 0 {
+	if free := slices.DeleteFunc(slices.Clone(group), (*endpoint).isFull); len(free) > 0 {
 		return free
 	}
-	if free := slices.DeleteFunc(slices.Clone(s.candidates), isFull); len(free) > 0 {
+	if free := slices.DeleteFunc(slices.Clone(s.candidates), (*endpoint).isFull); len(free) > 0 {
 		return free
 	}
 
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -79,6 +79,9 @@
 	// A round trip there takes a few milliseconds, about as much as one more request
 	// in a batch.
 	otherDataCentrePenalty = 1.0
+	// remoteSampleSize is the number of engines in other data centres that are
+	// compared with the best one of the own data centre.
+	remoteSampleSize = 2
 	// refusalCooldown is how long an endpoint gets no new requests after it refused
 	// one for lack of capacity.
 	refusalCooldown = 150 * time.Millisecond
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -2,11 +2,23 @@
 // endpoints: how many peers an instance contacts in a round, which messages carry
 // loads, and which peers get a load update at once.
 //
-// The decisions depend only on the size of the fleet, so that all instances make the
-// same ones. An instance spends about as much on them in a large fleet as in a small
-// one.
+// A small fleet is undivided: each instance tells all others. A larger one is divided
+// by data centre: an instance shares its loads with the peers of its own data centre,
+// and places requests there first. So each instance knows the loads that it decides by,
+// and what it spends on that does not grow with the fleet.
+//
+// The decisions depend only on the number of peers, so that all instances make the same
+// ones.
 package spreader
 
+// Fleet is what an instance knows of its peers. The zero value is an instance without
+// peers.
+type Fleet struct {
+	// Peers is the number of known peers. LocalPeers is the number of those in the
+	// instance's own data centre.
+	Peers, LocalPeers int
+}
+
 // Fanout limits the number of peers that an instance contacts in a round: Min in a small
 // fleet and Max in the largest one.
 type Fanout struct {
@@ -14,31 +26,47 @@
 }
 
 const (
+	// maxUndividedPeers is the number of peers above which a fleet is divided.
+	maxUndividedPeers = 12
 	// fanoutDivisor sets the number of peers contacted in a round, between the two
 	// limits: the number of known peers divided by it.
 	fanoutDivisor = 6
-	// loadIntervalDivisor sets which messages to a peer carry loads: every n-th, n
-	// being the number of known peers divided by it, but at least 1. In a larger
-	// fleet each instance causes a smaller part of an endpoint's load, and sends its
-	// loads less often in proportion to keep the bytes sent constant.
+	// loadIntervalDivisor sets which messages carry loads: every n-th, n being the
+	// number of peers that get them divided by it, but at least 1. In a larger fleet
+	// each instance causes a smaller part of an endpoint's load, and sends its loads
+	// less often in proportion to keep the bytes sent constant.
 	loadIntervalDivisor = 12
-	// maxUpdatePeers is the number of live peers above which no load updates are sent.
-	// In a larger fleet each instance causes a smaller part of an engine's load, while
-	// the cost of updates for each instance grows with the number of instances.
-	maxUpdatePeers = 12
 )
 
-// PeersPerRound returns the number of peers to contact in a round, of so many known ones.
-func (f Fanout) PeersPerRound(peerCount int) int {
-	return min(f.Max, max(f.Min, peerCount/fanoutDivisor))
+// IsDivided reports whether the fleet is divided by data centre.
+func (f Fleet) IsDivided() bool {
+	return f.Peers > maxUndividedPeers
+}
+
+// PeersPerRound returns the number of peers to contact in a round, and how many of them
+// should be in the own data centre. That is zero if it makes no difference.
+func (f Fleet) PeersPerRound(fanout Fanout) (peers, localPeers int) {
+	peers = min(fanout.Max, max(fanout.Min, f.Peers/fanoutDivisor))
+	if f.IsDivided() {
+		localPeers = (peers + 1) / 2
+	}
+
+	return peers, localPeers
 }
 
 // CarriesLoads reports whether the n-th message to a peer, counted from 0, carries loads.
-func CarriesLoads(peerCount, n int) bool {
-	return n%max(1, peerCount/loadIntervalDivisor) == 0
+func (f Fleet) CarriesLoads(isLocal bool, n int) bool {
+	receivers := f.Peers
+	if f.IsDivided() && isLocal {
+		receivers = f.LocalPeers
+	}
+
+	return n%max(1, receivers/loadIntervalDivisor) == 0
 }
 
-// SendsUpdates reports whether changes of the load are sent to the peers at once.
-func SendsUpdates(peerCount int) bool {
-	return peerCount <= maxUpdatePeers
+// SharesEngines reports whether the instance and a peer place requests on the same engines
+// in the first place. Such a peer gets changes of the load at once, and messages with
+// demands.
+func (f Fleet) SharesEngines(isLocal bool) bool {
+	return isLocal || !f.IsDivided()
 }
--- /dev/null
+++ b/pkg/spreader/spreader_test.go
@@ -0,0 +1,34 @@
+package spreader_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderpick/oleanderpick/pkg/spreader"
+)
+
+// Guards against an instance not hearing from the peers with which it shares engines, and
+// against a fanout that grows with the fleet.
+func TestInstancesHearFromPeersThatShareTheirEngines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := spreader.Fleet{Peers: rapid.IntRange(0, 1000).Draw(t, "peers")}
+		fleet.LocalPeers = rapid.IntRange(0, fleet.Peers).Draw(t, "local peers")
+		fanout := spreader.Fanout{Min: rapid.IntRange(1, 3).Draw(t, "min"), Max: rapid.IntRange(3, 8).Draw(t, "max")}
+		count, localCount := fleet.PeersPerRound(fanout)
+		assert.Assert(t, count >= fanout.Min && count <= fanout.Max && localCount <= count)
+		assert.Assert(t, fleet.SharesEngines(true))
+		assert.Equal(t, fleet.SharesEngines(false), !fleet.IsDivided())
+		assert.Equal(t, localCount > 0, fleet.IsDivided(), "in a divided fleet, each round reaches local peers")
+		for _, isLocal := range []bool{true, false} {
+			assert.Assert(t, fleet.CarriesLoads(isLocal, 0), "the first message carries loads")
+		}
+	})
+}
+
+// Guards against changes of the size from which a fleet is divided.
+func TestFleetOfThirteenIsUndivided(t *testing.T) {
+	assert.Assert(t, !spreader.Fleet{Peers: 12}.IsDivided())
+	assert.Assert(t, spreader.Fleet{Peers: 13}.IsDivided())
+}
