--- a/pkg/placer/data_centre_test.go
+++ b/pkg/placer/data_centre_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,17 @@
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 )
 
+// fillDataCentre gives all engines of this data centre a long queue, by a peer's loads.
+func fillDataCentre(p *placer.Placer, dataCentre string, engineCount int) {
+	loads := map[string]placer.Load{}
+	for _, e := range engines(engineCount) {
+		if e.DataCentre == dataCentre {
+			loads[e.ID] = placer.Load{RunningRequests: 4 * e.Slots, RunningShortPrompts: e.Slots}
+		}
+	}
+	p.ReceiveLoads(start, "peer", loads, nil)
+}
+
 // Guards against placement by loads that are known late: a large fleet's instance sends
 // prompts to its own data centre, even if engines elsewhere look less busy.
 func TestPromptsStayInOwnDataCentre(t *testing.T) {
@@ -24,6 +36,31 @@
 	assert.Assert(t, !p.PreferOwnDataCentre(true))
 }
 
+// Guards against urgent prompts waiting in a full data centre while engines elsewhere are
+// free, and against all instances choosing the same one of them.
+func TestPromptsLeaveFullDataCentreForDifferentEngines(t *testing.T) {
+	const engineCount, instances = 30, 20
+	for name, request := range map[string]placer.Request{"short": shortRequest(), "long": longRequest(1, 1)} {
+		t.Run(name, func(t *testing.T) {
+			chosen := map[string]int{}
+			for i := range instances {
+				p := newPlacer(fmt.Sprintf("instance-%d", i), engines(engineCount))
+				p.PreferOwnDataCentre(true)
+				fillDataCentre(p, "dc0", engineCount)
+				if choice := pick(t, p, start, request); choice.InOtherDataCentre {
+					chosen[choice.EndpointID]++
+				}
+			}
+			for engine, count := range chosen {
+				assert.Assert(t, count <= instances/4, "%d of %d instances chose %s", count, instances, engine)
+			}
+			if name == "short" {
+				assert.Assert(t, len(chosen) > 0)
+			}
+		})
+	}
+}
+
 // Guards against a data centre without usable engines making the service unavailable.
 func TestPromptsLeaveDataCentreWithoutUsableEngines(t *testing.T) {
 	p := newPlacer("a", engines(9))
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -31,6 +31,7 @@
 	isLongPrompt   bool
 	tokensAhead    int // prompt tokens waiting at the engine when the request was sent
 	sentAt         time.Time
+	startedAt      time.Time // time of the first event
 	hasStarted     bool
 }
 
@@ -206,7 +207,7 @@
 	if r == nil || r.hasStarted {
 		return
 	}
-	r.hasStarted = true
+	r.hasStarted, r.startedAt = true, now
 	r.endpoint.localLoad.PendingTokens -= r.uncachedTokens
 	r.endpoint.lastActivity = now
 	r.endpoint.startedRequests++
@@ -240,6 +241,9 @@
 	r.endpoint.localLoad.RunningRequests--
 	if r.hasStarted {
 		r.endpoint.startedRequests--
+		if result == Finished {
+			r.service.updateRunTime(now.Sub(r.startedAt))
+		}
 	} else {
 		r.endpoint.localLoad.PendingTokens -= r.uncachedTokens
 	}
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -304,5 +304,6 @@
 func (s *search) timeToFirstToken(e *endpoint, uncachedTokens int) time.Duration {
 	load := e.totalLoad()
 
-	return s.service.prefillTime(load.PendingTokens+uncachedTokens) + time.Duration(load.RunningRequests)*delayPerRunningRequest
+	return s.service.prefillTime(load.PendingTokens+uncachedTokens) + time.Duration(load.RunningRequests)*delayPerRunningRequest +
+		s.service.slotWait(load.RunningRequests, e.slotsOrDefault())
 }
--- a/pkg/placer/service.go
+++ b/pkg/placer/service.go
@@ -7,10 +7,11 @@
 
 // service is the state of one service: its endpoints, its demand and its split.
 type service struct {
-	instanceName          string      // of this instance
-	endpoints             []*endpoint // sorted by rank
-	prefillRate           float64     // prompt tokens that an engine prefills per millisecond
-	minLongPromptTokens   int         // prompts of at least this length are long
+	instanceName          string        // of this instance
+	endpoints             []*endpoint   // sorted by rank
+	prefillRate           float64       // prompt tokens that an engine prefills per millisecond
+	minLongPromptTokens   int           // prompts of at least this length are long
+	meanRunTime           time.Duration // of a request from its first event to its end
 	arrivals              arrivals
 	peerDemands           map[string]peerDemand // by instance name
 	smoothedShortFraction float64               // target size of the short group, as a fraction of the engines
@@ -32,12 +33,16 @@
 	// minRateSampleTokens is the shortest prefill, in tokens, from which the
 	// prefill rate is learned.
 	minRateSampleTokens = 2048
+	// runTimeSmoothingFactor is the weight of a new observation in the average run
+	// time.
+	runTimeSmoothingFactor = 0.02
 )
 
 func newService(settings Settings) *service {
 	return &service{
 		instanceName: settings.InstanceName,
 		prefillRate:  settings.InitialPrefillRate, minLongPromptTokens: settings.MinLongPromptTokens,
+		meanRunTime: initialRunTime,
 		peerDemands: map[string]peerDemand{}, smoothedShortFraction: initialShortFraction,
 	}
 }
@@ -63,6 +68,17 @@
 	return time.Duration(float64(tokens) / s.prefillRate * float64(time.Millisecond))
 }
 
+// updateRunTime learns how long requests run from their first event to their end.
+func (s *service) updateRunTime(elapsed time.Duration) {
+	s.meanRunTime += time.Duration(runTimeSmoothingFactor * float64(elapsed-s.meanRunTime))
+}
+
+// slotWait returns how long a request waits for a slot at an engine that has so many
+// requests for its slots.
+func (s *service) slotWait(requests, slots int) time.Duration {
+	return s.meanRunTime * time.Duration(max(0, requests+1-slots)) / time.Duration(slots)
+}
+
 // localDemand returns the demand that arrives at this instance.
 func (s *service) localDemand(now time.Time) Demand {
 	demand := s.arrivals.demand(now, s.prefillRate)
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -30,6 +30,9 @@
 	// defaultSlots is the usual batch size of engines. It is used for engines that
 	// do not report their slots.
 	defaultSlots = 64
+	// initialRunTime is the mean time for which a request runs, used until it has been
+	// observed.
+	initialRunTime = 500 * time.Millisecond
 	// targetPrefillFraction is the fraction of its time that an engine can spend on
 	// prefilling long prompts before they have to wait for each other.
 	targetPrefillFraction = 0.6
