--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -62,10 +62,11 @@
 // Dispatcher holds the state by which requests are placed, repeated and refused. Its
 // methods, except OnLoadChange, are safe for concurrent use.
 type Dispatcher struct {
-	clock  Clock
-	logger hclog.Logger
-	calls  chan func()
-	done   chan struct{}
+	clock      Clock
+	logger     hclog.Logger
+	dataCentre string
+	calls      chan func()
+	done       chan struct{}
 	// initialized is closed when a configuration and the endpoints are known.
 	initialized chan struct{}
 
@@ -96,6 +97,7 @@
 	return &Dispatcher{
 		clock:         clock,
 		logger:        logger,
+		dataCentre:    settings.DataCentre,
 		calls:         make(chan func(), maxQueuedCalls),
 		done:          make(chan struct{}),
 		initialized:   make(chan struct{}),
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -11,7 +11,11 @@
 type Message struct {
 	// OmitsLoads reports whether the message has no Loads, Prefills and Demands.
 	OmitsLoads bool
-	// Loads are the sender's loads at endpoints, by endpoint ID.
+	// DataCentre is the sender's. If IsSummary is set, Loads are those of all
+	// instances there.
+	DataCentre string
+	IsSummary  bool
+	// Loads are the loads at endpoints, by endpoint ID.
 	Loads map[string]placer.Load
 	// Prefills are the IDs of the shared prompt blocks that engines recently prefilled
 	// for the sender, by endpoint ID.
@@ -47,11 +51,17 @@
 	return d.clock.SinceBoot()
 }
 
-// BuildMessage returns the message to send to peers.
-func (d *Dispatcher) BuildMessage() (message Message) {
+// BuildMessage returns the message to send to peers. If asSummary is set, its loads are
+// those of all instances of the data centre.
+func (d *Dispatcher) BuildMessage(asSummary bool) (message Message) {
 	d.runAndWait(func() {
 		now := d.clock.Now()
-		message.Loads = d.placer.LocalLoads()
+		message.DataCentre, message.IsSummary = d.dataCentre, asSummary
+		if asSummary {
+			message.Loads = d.placer.DataCentreLoads()
+		} else {
+			message.Loads = d.placer.LocalLoads()
+		}
 		message.Prefills = d.placer.LocalPrefills(now)
 		message.Demands = d.placer.LocalDemands(now)
 		message.Suspects = d.suspectsToShare(now)
@@ -71,10 +81,14 @@
 // message's versions: pass those to ReceiveVersions.
 func (d *Dispatcher) ReceiveMessage(peer string, message Message) {
 	d.runAndWait(func() {
-		if !message.OmitsLoads {
+		switch {
+		case message.OmitsLoads:
+		case !message.IsSummary:
 			d.placer.ReceiveLoads(d.clock.Now(), peer, message.Loads, message.Demands)
-			d.placer.ReceivePrefills(message.Prefills)
+		case message.DataCentre != d.dataCentre:
+			d.placer.ReceiveDataCentreLoads(d.clock.Now(), message.DataCentre, message.Loads, message.Demands)
 		}
+		d.placer.ReceivePrefills(message.Prefills)
 		d.mergeSuspects(d.clock.Now(), message.Suspects)
 	})
 }
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -157,7 +157,7 @@
 	d.runAndWait(func() {
 		d.repeatLimiter.SetInstanceCount(fleet.InstanceCount)
 		d.rank = fleet.Rank
-		if d.placer.PreferOwnDataCentre(fleet.IsDivided) {
+		if d.placer.SetFleetDivided(fleet.IsDivided) {
 			d.logger.Info("Scope of placement changed.", "own data centre first", fleet.IsDivided, "instances", fleet.InstanceCount)
 		}
 	})
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -11,19 +11,16 @@
 
 // buildMessage returns this instance's message to the peer at an address that knows the
 // given number of live addresses. It lists the live peers' addresses if the recipient
-// knows fewer, and this instance's loads if includeLoads is set, with its demands if the
-// recipient uses them.
+// knows fewer, and loads if includeLoads is set: this instance's, or those of its data
+// centre if the recipient does not share its engines.
 func (g *Gossiper) buildMessage(recipient string, recipientAddressCount int, includeLoads bool) *gossipwire.Message {
-	state := g.dispatcher.BuildMessage()
 	addresses := g.Addresses()
 	g.mu.Lock()
 	leaving := g.leaving
 	p := g.peers[recipient]
 	sharesEngines := g.fleet().SharesEngines(p != nil && g.isLocal(p))
 	g.mu.Unlock()
-	if !sharesEngines {
-		state.Demands = nil
-	}
+	state := g.dispatcher.BuildMessage(!sharesEngines)
 	message := &gossipwire.Message{
 		Name:        g.settings.Name,
 		Address:     g.settings.Address,
@@ -32,6 +29,7 @@
 		Known:       uint32(len(addresses)),
 		Brief:       !includeLoads,
 		DataCentre:  g.settings.DataCentre,
+		Summary:     !sharesEngines,
 
 		Number:         state.Versions.ConfigurationNumber,
 		AgeMs:          toMilliseconds(state.Versions.ConfigurationAge),
@@ -52,8 +50,8 @@
 	return message
 }
 
-// addLoads adds this instance's loads at endpoints, the prompt blocks that the
-// endpoints prefilled for it, and the demand that arrives at it, by service.
+// addLoads adds the loads at endpoints, the prompt blocks that the endpoints prefilled
+// for this instance, and the demand that arrives at it, by service.
 func addLoads(message *gossipwire.Message, state dispatcher.Message) {
 	for id := range state.Prefills {
 		if _, ok := state.Loads[id]; !ok {
@@ -124,7 +122,10 @@
 
 // decodeMessage returns the dispatcher's part of a peer's message.
 func decodeMessage(message *gossipwire.Message) dispatcher.Message {
-	decoded := dispatcher.Message{OmitsLoads: message.GetBrief(), Loads: map[string]placer.Load{}, Demands: map[string]placer.Demand{}, Prefills: map[string][]uint64{}}
+	decoded := dispatcher.Message{
+		OmitsLoads: message.GetBrief(), DataCentre: message.GetDataCentre(), IsSummary: message.GetSummary(),
+		Loads: map[string]placer.Load{}, Demands: map[string]placer.Demand{}, Prefills: map[string][]uint64{},
+	}
 	for _, load := range message.GetLoads() {
 		decoded.Loads[load.GetEndpoint()] = DecodeLoad(load)
 		decoded.Prefills[load.GetEndpoint()] = load.GetReads()
--- a/internal/lab/simulator/fleet.go
+++ b/internal/lab/simulator/fleet.go
@@ -111,7 +111,7 @@
 	for i := range size.Instances {
 		instance := placer.New(placer.Settings{InstanceName: instanceName(i), DataCentre: f.dataCentre(i)})
 		instance.Configure(f.endpoints)
-		instance.PreferOwnDataCentre(f.spreaderFleet(i).IsDivided())
+		instance.SetFleetDivided(f.spreaderFleet(i).IsDivided())
 		f.instances = append(f.instances, instance)
 		f.contacts = append(f.contacts, make([]contact, size.Instances))
 	}
@@ -300,14 +300,14 @@
 	return selected
 }
 
-// sendLoads sends an instance's loads and prefills to a peer, and its demands if the peer
-// uses them.
+// sendLoads sends a peer an instance's loads and demands, or those of its data centre if
+// the peer does not share its engines, and the instance's prefills.
 func (f *Fleet) sendLoads(sender, receiver int, fleet spreader.Fleet) {
 	from, to := f.instances[sender], f.instances[receiver]
-	var demands map[string]placer.Demand
 	if fleet.SharesEngines(f.isLocal(sender, receiver)) {
-		demands = from.LocalDemands(f.now)
+		to.ReceiveLoads(f.now, instanceName(sender), from.LocalLoads(), from.LocalDemands(f.now))
+	} else {
+		to.ReceiveDataCentreLoads(f.now, f.dataCentre(sender), from.DataCentreLoads(), from.LocalDemands(f.now))
 	}
-	to.ReceiveLoads(f.now, instanceName(sender), from.LocalLoads(), demands)
 	to.ReceivePrefills(from.LocalPrefills(f.now))
 }
--- a/pkg/placer/peers.go
+++ b/pkg/placer/peers.go
@@ -19,10 +19,17 @@
 	expiryCheckInterval = 100 * time.Millisecond
 )
 
+// peerID identifies a sender of loads: an instance, or all instances of another data
+// centre together.
+type peerID struct {
+	name         string
+	isDataCentre bool
+}
+
 // peerLoads holds the last message of each peer. The sum of their loads is kept at each
 // endpoint, so that choosing an endpoint does not take longer in a larger fleet.
 type peerLoads struct {
-	messages        map[string]*peerMessage // by instance name
+	messages        map[peerID]*peerMessage
 	lastExpiryCheck time.Time
 }
 
@@ -34,9 +41,9 @@
 }
 
 // receive replaces a peer's last message.
-func (p *peerLoads) receive(now time.Time, peer string, loads map[string]Load, endpoints map[string]*endpoint) {
+func (p *peerLoads) receive(now time.Time, peer peerID, loads map[string]Load, endpoints map[string]*endpoint) {
 	if p.messages == nil {
-		p.messages = map[string]*peerMessage{}
+		p.messages = map[peerID]*peerMessage{}
 	}
 	message := p.messages[peer]
 	if message == nil {
@@ -52,7 +59,7 @@
 // receiveUpdate changes a peer's load at one endpoint between two messages. It
 // ignores a peer or endpoint that is not known yet: the peer's next message will
 // contain the load.
-func (p *peerLoads) receiveUpdate(peer, id string, load Load, endpoints map[string]*endpoint) {
+func (p *peerLoads) receiveUpdate(peer peerID, id string, load Load, endpoints map[string]*endpoint) {
 	message, e := p.messages[peer], endpoints[id]
 	if message == nil || e == nil {
 		return
@@ -78,6 +85,19 @@
 	}
 }
 
+// addUnsummarizedTo adds the loads of all single instances to a map of loads by endpoint
+// ID.
+func (p *peerLoads) addUnsummarizedTo(loads map[string]Load) {
+	for peer, message := range p.messages {
+		if peer.isDataCentre {
+			continue
+		}
+		for id, load := range message.loads {
+			loads[id] = loads[id].plus(load, 1)
+		}
+	}
+}
+
 // addTo adds the loads of all messages to endpoints whose remote loads are zero.
 func (p *peerLoads) addTo(endpoints map[string]*endpoint) {
 	for _, message := range p.messages {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -16,9 +16,10 @@
 	services  map[string]*service         // by name
 	inFlight  map[uint64]*inFlightRequest // local requests by ID
 	peerLoads peerLoads
-	// prefersOwnDataCentre is true if the loads at engines elsewhere are known late.
-	prefersOwnDataCentre bool
-	sampleCount          uint64 // random samples of engines drawn so far
+	// isFleetDivided is true if the loads of instances in other data centres are known
+	// late.
+	isFleetDivided bool
+	sampleCount    uint64 // random samples of engines drawn so far
 }
 
 // inFlightRequest is a local request that was sent to an endpoint and has no result
@@ -73,13 +74,12 @@
 	}
 }
 
-// PreferOwnDataCentre sets whether prompts go to engines in other data centres only if
-// those in the own one are full or would be late. That is right in a fleet whose
-// instances learn the loads at engines elsewhere late. It reports whether this is a
-// change.
-func (p *Placer) PreferOwnDataCentre(preferred bool) (changed bool) {
-	changed = p.prefersOwnDataCentre != preferred
-	p.prefersOwnDataCentre = preferred
+// SetFleetDivided sets whether the loads of instances in other data centres are known
+// late, so that the engines of the own data centre are preferred. It reports whether this
+// is a change.
+func (p *Placer) SetFleetDivided(divided bool) (changed bool) {
+	changed = p.isFleetDivided != divided
+	p.isFleetDivided = divided
 
 	return changed
 }
@@ -113,22 +113,32 @@
 		return Choice{EndpointID: e.ID, Address: e.Address, KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre}, true
 	}
 
-	if p.prefersOwnDataCentre {
-		return p.pickOwnDataCentreFirst(s), true
+	if p.isFleetDivided {
+		return p.pickInDividedFleet(s), true
 	}
 
 	return s.pickEngine(), true
 }
 
-// pickOwnDataCentreFirst chooses an engine of the own data centre, unless the request
-// would be late there and clearly sooner at one of a few engines elsewhere. These are
-// drawn at random: their loads are known late, so that the best of all would get the
-// requests of many instances at once.
-func (p *Placer) pickOwnDataCentreFirst(s search) Choice {
+// pickInDividedFleet chooses an engine for a request of an instance that learns the loads
+// at engines in other data centres late.
+//
+// A short prompt goes to the own data centre, unless it would be late there and clearly
+// sooner at one of a few engines elsewhere. These are drawn at random: the best of all by
+// late loads would get the requests of many instances at once. A long prompt goes to the
+// engine of its prefix group in any data centre, as the engines of one data centre cannot
+// cache the prefixes of all groups. If that engine is late, it goes to one of the own
+// data centre or to one of those drawn at random.
+func (p *Placer) pickInDividedFleet(s search) Choice {
 	local := s.restrict(func(e *endpoint) bool { return e.DataCentre == s.dataCentre })
 	if len(local.accepting()) == 0 {
 		return s.pickEngine()
 	}
+	if s.isLongPrompt() {
+		if e := p.pickLongPromptEngine(&s, local); e != nil {
+			return s.newChoice(e, s.service.split(s.now, len(local.eligible)))
+		}
+	}
 	choice := local.pickEngine()
 	if !s.isLate(choice) {
 		return choice
@@ -138,7 +148,7 @@
 	if len(remote.candidates) == 0 {
 		return choice
 	}
-	alternative := remote.pickAlternative()
+	alternative := s.newChoice(remote.leastBusy(remote.withFreeSlot(remote.candidates)), choice.Split)
 	if alternative.ExpectedTimeToFirstToken+minMoveGain < choice.ExpectedTimeToFirstToken {
 		return alternative
 	}
@@ -146,6 +156,22 @@
 	return choice
 }
 
+// pickLongPromptEngine chooses an engine of the long groups of all data centres; nil if
+// there is none.
+func (p *Placer) pickLongPromptEngine(s, local *search) *endpoint {
+	localGroup := local.longGroup(s.service.split(s.now, len(local.eligible)))
+	var remoteGroup []*endpoint
+	for _, dataCentre := range s.dataCentres() {
+		if dataCentre != s.dataCentre {
+			remote := s.restrict(func(e *endpoint) bool { return e.DataCentre == dataCentre })
+			remoteGroup = append(remoteGroup, remote.longGroup(s.service.remoteSplit(s.now, dataCentre, len(remote.eligible)))...)
+		}
+	}
+	alternatives := slices.Concat(localGroup, p.sample(remoteGroup, remoteSampleSize))
+
+	return s.pickForLongPrompt(slices.Concat(localGroup, remoteGroup), alternatives)
+}
+
 // sample returns up to count of the endpoints, drawn by a hash of this instance's name
 // and of the number of samples before.
 func (p *Placer) sample(endpoints []*endpoint, count int) []*endpoint {
@@ -301,19 +327,37 @@
 	return demands
 }
 
+// DataCentreLoads returns the loads of all instances of the own data centre at each
+// endpoint that they use, by endpoint ID, as far as this instance knows them.
+func (p *Placer) DataCentreLoads() map[string]Load {
+	loads := p.LocalLoads()
+	p.peerLoads.addUnsummarizedTo(loads)
+
+	return loads
+}
+
+// ReceiveDataCentreLoads replaces what is known of another data centre: the loads of its
+// instances, by endpoint ID, and the splits of its engines, by service name.
+func (p *Placer) ReceiveDataCentreLoads(now time.Time, dataCentre string, loads map[string]Load, demands map[string]Demand) {
+	for name, demand := range demands {
+		p.getOrCreateService(name).remoteDemands[dataCentre] = peerDemand{Demand: demand, receivedAt: now}
+	}
+	p.peerLoads.receive(now, peerID{name: dataCentre, isDataCentre: true}, loads, p.endpoints)
+}
+
 // ReceiveLoads replaces a peer's loads, by endpoint ID, and its demands, by service
 // name. The peer has no load at endpoints that loads does not contain.
 func (p *Placer) ReceiveLoads(now time.Time, peer string, loads map[string]Load, demands map[string]Demand) {
 	for name, demand := range demands {
 		p.getOrCreateService(name).peerDemands[peer] = peerDemand{Demand: demand, receivedAt: now}
 	}
-	p.peerLoads.receive(now, peer, loads, p.endpoints)
+	p.peerLoads.receive(now, peerID{name: peer}, loads, p.endpoints)
 }
 
 // ReceiveLoadUpdate replaces a peer's load at one endpoint, between two messages that
 // contain all its loads.
 func (p *Placer) ReceiveLoadUpdate(peer, id string, load Load) {
-	p.peerLoads.receiveUpdate(peer, id, load, p.endpoints)
+	p.peerLoads.receiveUpdate(peerID{name: peer}, id, load, p.endpoints)
 }
 
 // LocalLoad returns this instance's load at one endpoint.
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -115,12 +115,13 @@
 // pickEngine chooses an engine for a request that has a prompt.
 func (s *search) pickEngine() Choice {
 	split := s.service.split(s.now, len(s.eligible))
-	candidateSplit := s.scaleSplit(split)
+	longGroup := s.longGroup(split)
 	var e *endpoint
 	if s.isLongPrompt() {
-		e = s.pickForLongPrompt(s.candidates[candidateSplit:])
+		e = s.pickForLongPrompt(longGroup, longGroup)
 	} else {
-		e = s.overflowIfLate(s.leastBusy(s.withFreeSlot(s.candidates[:candidateSplit])), s.candidates[candidateSplit:])
+		shortGroup := s.candidates[:len(s.candidates)-len(longGroup)]
+		e = s.overflowIfLate(s.leastBusy(s.withFreeSlot(shortGroup)), longGroup)
 	}
 	if e == nil {
 		e = s.leastBusy(s.candidates)
@@ -129,14 +130,21 @@
 	return s.newChoice(e, split)
 }
 
-// pickAlternative chooses one of the candidates for a request that would be late at the
-// engines of its group.
-func (s *search) pickAlternative() Choice {
-	if s.isLongPrompt() {
-		return s.newChoice(cheapest(s.candidates, func(e *endpoint) float64 { return s.longPromptCost(e).Seconds() }), 0)
+// longGroup returns the candidates for long prompts, given how many of the eligible
+// engines are in the short group.
+func (s *search) longGroup(split int) []*endpoint {
+	return s.candidates[s.scaleSplit(split):]
+}
+
+// dataCentres returns the data centres of the eligible engines, sorted by name.
+func (s *search) dataCentres() []string {
+	var names []string
+	for _, e := range s.eligible {
+		names = append(names, e.DataCentre)
 	}
+	slices.Sort(names)
 
-	return s.newChoice(s.leastBusy(s.withFreeSlot(s.candidates)), 0)
+	return slices.Compact(names)
 }
 
 func (s *search) isLongPrompt() bool {
@@ -263,10 +271,10 @@
 	})
 }
 
-// pickForLongPrompt returns the preferred engine of the request's prefix group, or
-// the engine with the lowest cost if that is much lower.
-func (s *search) pickForLongPrompt(longGroup []*endpoint) *endpoint {
-	soonest := cheapest(longGroup, func(e *endpoint) float64 { return s.longPromptCost(e).Seconds() })
+// pickForLongPrompt returns the engine of the long group that the request's prefix group
+// prefers, or the alternative with the lowest cost if that is much lower.
+func (s *search) pickForLongPrompt(longGroup, alternatives []*endpoint) *endpoint {
+	soonest := cheapest(alternatives, func(e *endpoint) float64 { return s.longPromptCost(e).Seconds() })
 	prefixGroup := s.request.prefixGroup()
 	if prefixGroup == 0 || soonest == nil {
 		return soonest
--- a/pkg/placer/service.go
+++ b/pkg/placer/service.go
@@ -14,6 +14,7 @@
 	meanRunTime           time.Duration // of a request from its first event to its end
 	arrivals              arrivals
 	peerDemands           map[string]peerDemand // by instance name
+	remoteDemands         map[string]peerDemand // by name of another data centre
 	smoothedShortFraction float64               // target size of the short group, as a fraction of the engines
 	smoothedAt            time.Time             // last update of smoothedShortFraction
 	localSplit            int                   // engines in the short group, as this instance decides
@@ -43,7 +44,7 @@
 		instanceName: settings.InstanceName,
 		prefillRate:  settings.InitialPrefillRate, minLongPromptTokens: settings.MinLongPromptTokens,
 		meanRunTime: initialRunTime,
-		peerDemands: map[string]peerDemand{}, smoothedShortFraction: initialShortFraction,
+		peerDemands: map[string]peerDemand{}, remoteDemands: map[string]peerDemand{}, smoothedShortFraction: initialShortFraction,
 	}
 }
 
@@ -117,10 +118,31 @@
 	leader, split := s.instanceName, localSplit
 	for peer, demand := range s.peerDemands {
 		if demand.EngineCount > 0 && peer < leader && now.Sub(demand.receivedAt) < peerSplitTTL {
-			leader = peer
-			split = int(math.Round(float64(demand.Split) * float64(n) / float64(demand.EngineCount)))
+			leader, split = peer, demand.scaledSplit(n)
 		}
 	}
+
+	return limitSplit(split, n)
+}
+
+// remoteSplit returns how many of the n engines of another data centre, by rank, are in
+// its short group, as its instances reported last.
+func (s *service) remoteSplit(now time.Time, dataCentre string, n int) int {
+	demand, known := s.remoteDemands[dataCentre]
+	if !known || demand.EngineCount == 0 || now.Sub(demand.receivedAt) > remoteSplitTTL {
+		return limitSplit(int(math.Round(initialShortFraction*float64(n))), n)
+	}
+
+	return limitSplit(demand.scaledSplit(n), n)
+}
+
+// scaledSplit returns the reported split, scaled to n engines.
+func (d Demand) scaledSplit(n int) int {
+	return int(math.Round(float64(d.Split) * float64(n) / float64(d.EngineCount)))
+}
+
+// limitSplit leaves each group at least one of n engines.
+func limitSplit(split, n int) int {
 	if n < 2 {
 		return n
 	}
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -54,6 +54,9 @@
 	maxShortFraction = 0.7
 	// peerSplitTTL is how long a split that a peer reported is valid.
 	peerSplitTTL = time.Second
+	// remoteSplitTTL is how long a split that another data centre reported is valid.
+	// Reports arrive several times a second, and a split changes slowly.
+	remoteSplitTTL = 4 * time.Second
 	// postponeDelay is added to the predicted wait to get the time after which a
 	// postponed request should come back. A backlog lasts about this much longer
 	// than its prefill takes, and earlier retries mostly still find it there.
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -4,8 +4,9 @@
 //
 // A small fleet is undivided: each instance tells all others. A larger one is divided
 // by data centre: an instance shares its loads with the peers of its own data centre,
-// and places requests there first. So each instance knows the loads that it decides by,
-// and what it spends on that does not grow with the fleet.
+// and places requests there first. Peers elsewhere get a summary of the data centre's
+// loads. So each instance knows the loads that it decides by, and the number of messages
+// that it spends on that does not grow with the fleet.
 //
 // The decisions depend only on the number of peers, so that all instances make the same
 // ones.
@@ -36,6 +37,9 @@
 	// each instance causes a smaller part of an endpoint's load, and sends its loads
 	// less often in proportion to keep the bytes sent constant.
 	loadIntervalDivisor = 12
+	// summaryInterval sets which messages to other data centres of a divided fleet
+	// carry a summary of the loads: every n-th.
+	summaryInterval = 2
 )
 
 // IsDivided reports whether the fleet is divided by data centre.
@@ -56,12 +60,14 @@
 
 // CarriesLoads reports whether the n-th message to a peer, counted from 0, carries loads.
 func (f Fleet) CarriesLoads(isLocal bool, n int) bool {
-	receivers := f.Peers
-	if f.IsDivided() && isLocal {
-		receivers = f.LocalPeers
+	switch {
+	case !f.IsDivided():
+		return n%max(1, f.Peers/loadIntervalDivisor) == 0
+	case isLocal:
+		return n%max(1, f.LocalPeers/loadIntervalDivisor) == 0
+	default:
+		return n%summaryInterval == 0
 	}
-
-	return n%max(1, receivers/loadIntervalDivisor) == 0
 }
 
 // SharesEngines reports whether the instance and a peer place requests on the same engines
