--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -76,13 +76,34 @@
 func EncodeLoad(endpoint string, load placer.Load) *gossipwire.Load {
 	return &gossipwire.Load{
 		Endpoint: endpoint, Running: uint32(max(0, load.RunningRequests)), Short: uint32(max(0, load.RunningShortPrompts)),
-		Pending: uint32(max(0, load.PendingTokens)),
+		Pending: uint32(max(0, load.PendingTokens)), Lower: encodeLowerTiers(load.LowerTiers[:]),
 	}
 }
 
+// encodeLowerTiers returns the wire form of the numbers of requests in the lower tiers,
+// without zeros at the end.
+func encodeLowerTiers(requests []int) []uint32 {
+	var encoded []uint32
+	for i, count := range requests {
+		if count > 0 {
+			encoded = append(encoded, make([]uint32, i+1-len(encoded))...)
+			encoded[i] = uint32(count)
+		}
+	}
+
+	return encoded
+}
+
 // DecodeLoad returns an instance's load at an endpoint from its wire form.
 func DecodeLoad(load *gossipwire.Load) placer.Load {
-	return placer.Load{RunningRequests: int(load.GetRunning()), RunningShortPrompts: int(load.GetShort()), PendingTokens: int(load.GetPending())}
+	decoded := placer.Load{RunningRequests: int(load.GetRunning()), RunningShortPrompts: int(load.GetShort()), PendingTokens: int(load.GetPending())}
+	for i, count := range load.GetLower() {
+		if i < len(decoded.LowerTiers) {
+			decoded.LowerTiers[i] = int(count)
+		}
+	}
+
+	return decoded
 }
 
 // encodeSuspect returns the wire form of a quarantine entry, with times as ages. The
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -9,7 +9,7 @@
 )
 
 // EngineTierCount is the number of tiers that engines distinguish.
-const EngineTierCount = 10
+const EngineTierCount = placer.TierCount
 
 // RequestMetadata is what a caller's headers state about a request.
 type RequestMetadata struct {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -278,6 +278,7 @@
 		r.placementRequest.OutputTokens = r.metadata.OutputTokens
 		r.placementRequest.Blocks = r.metadata.PromptBlocks
 		r.placementRequest.TargetTimeToFirstToken = r.route.TargetLatency
+		r.placementRequest.Tier = r.forwarding.Tier
 		r.placementRequest.CanCopyCache = r.service.Engine.CanCopyCache
 	} else {
 		r.forwarding.Tier = -1
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -61,6 +61,12 @@
 	return e.totalLoad().RunningRequests >= e.slotsOrDefault()
 }
 
+// isFullFor reports whether requests of a tier or of higher ones have all slots of the
+// engine.
+func (e *endpoint) isFullFor(tier int) bool {
+	return e.totalLoad().requestsUpTo(tier) >= e.slotsOrDefault()
+}
+
 // canAccept reports whether the endpoint is expected to accept a request now: it is
 // not ejected, did not just refuse one, and is not silent.
 func (e *endpoint) canAccept(now time.Time) bool {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -215,7 +215,7 @@
 		endpoint: e, service: s, request: request, uncachedTokens: choice.UncachedTokens, isLongPrompt: choice.IsLongPrompt,
 		tokensAhead: e.totalLoad().PendingTokens, sentAt: now,
 	}
-	e.localLoad.RunningRequests++
+	e.localLoad.addRequest(request.Tier, 1)
 	e.localLoad.PendingTokens += choice.UncachedTokens
 	if request.PromptTokens > 0 && !choice.IsLongPrompt {
 		e.localLoad.RunningShortPrompts++
@@ -264,7 +264,7 @@
 		return
 	}
 	delete(p.inFlight, id)
-	r.endpoint.localLoad.RunningRequests--
+	r.endpoint.localLoad.addRequest(r.request.Tier, -1)
 	if r.hasStarted {
 		r.endpoint.startedRequests--
 		if result == Finished {
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// TierCount is the number of tiers that are told apart.
+const TierCount = 10
+
 // PromptBlock is a piece of a prompt that other prompts may also contain.
 type PromptBlock struct {
 	// ID is the same for this block in every prompt that contains it.
@@ -23,6 +26,9 @@
 	// CanCopyCache reports whether the service's engines can copy cached blocks
 	// from each other's memory.
 	CanCopyCache bool
+	// Tier is the request's priority at an engine, from 0, the highest, to TierCount-1.
+	// Engines run requests of higher tiers first.
+	Tier int
 	// TargetTimeToFirstToken is the promised time to the first token; zero if
 	// none was promised.
 	TargetTimeToFirstToken time.Duration
@@ -115,15 +121,42 @@
 	RunningShortPrompts int
 	// PendingTokens is the number of prompt tokens still to be prefilled.
 	PendingTokens int
+	// LowerTiers[i] is the number of the requests in flight that have tier i+1. The
+	// others have tier 0.
+	LowerTiers [TierCount - 1]int
+}
+
+// requestsUpTo returns the number of requests in flight that have a tier or a higher one:
+// those that an engine does not preempt for a request of the tier.
+func (l Load) requestsUpTo(tier int) int {
+	requests := l.RunningRequests
+	for _, lower := range l.LowerTiers[min(max(tier, 0), TierCount-1):] {
+		requests -= lower
+	}
+
+	return requests
+}
+
+// addRequest adds count requests of a tier, which may be negative.
+func (l *Load) addRequest(tier, count int) {
+	l.RunningRequests += count
+	if tier > 0 {
+		l.LowerTiers[min(tier, TierCount-1)-1] += count
+	}
 }
 
 // plus returns the sum of the load and factor times another load.
 func (l Load) plus(other Load, factor int) Load {
-	return Load{
+	sum := Load{
 		RunningRequests:     l.RunningRequests + factor*other.RunningRequests,
 		RunningShortPrompts: l.RunningShortPrompts + factor*other.RunningShortPrompts,
 		PendingTokens:       l.PendingTokens + factor*other.PendingTokens,
 	}
+	for i := range sum.LowerTiers {
+		sum.LowerTiers[i] = l.LowerTiers[i] + factor*other.LowerTiers[i]
+	}
+
+	return sum
 }
 
 // Demand is the work that arrives at an instance for one service, as the number of
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -154,7 +154,7 @@
 // isLate reports whether the request would probably miss its target at the chosen
 // engine, or has to wait for a slot there.
 func (s *search) isLate(choice Choice) bool {
-	if s.endpointOf(choice).isFull() {
+	if s.endpointOf(choice).isFullFor(s.request.Tier) {
 		return true
 	}
 	target := s.request.TargetTimeToFirstToken
@@ -227,13 +227,21 @@
 }
 
 // withFreeSlot returns the engines of a group that have a free slot. If there are
-// none, it returns all candidates with a free slot, or else the whole group.
+// none, it returns all candidates with a free slot, or else those with a slot that the
+// request takes from a lower tier, or else the whole group.
 func (s *search) withFreeSlot(group []*endpoint) []*endpoint {
-	if free := slices.DeleteFunc(slices.Clone(group), (*endpoint).isFull); len(free) > 0 {
-		return free
-	}
-	if free := slices.DeleteFunc(slices.Clone(s.candidates), (*endpoint).isFull); len(free) > 0 {
-		return free
+	isFullForTier := func(e *endpoint) bool { return e.isFullFor(s.request.Tier) }
+	for _, choice := range []struct {
+		engines []*endpoint
+		isFull  func(*endpoint) bool
+	}{
+		{group, (*endpoint).isFull},
+		{s.candidates, (*endpoint).isFull},
+		{s.candidates, isFullForTier},
+	} {
+		if free := slices.DeleteFunc(slices.Clone(choice.engines), choice.isFull); len(free) > 0 {
+			return free
+		}
 	}
 
 	return group
@@ -313,5 +321,5 @@
 	load := e.totalLoad()
 
 	return s.service.prefillTime(load.PendingTokens+uncachedTokens) + time.Duration(load.RunningRequests)*delayPerRunningRequest +
-		s.service.slotWait(load.RunningRequests, e.slotsOrDefault())
+		s.service.slotWait(load.requestsUpTo(s.request.Tier), e.slotsOrDefault())
 }
