--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -52,7 +52,7 @@
 }
 
 // BuildMessage returns the message to send to peers. If asSummary is set, its loads are
-// those of all instances of the data centre.
+// those of all instances of the data centre, and its prefills only the new ones.
 func (d *Dispatcher) BuildMessage(asSummary bool) (message Message) {
 	d.runAndWait(func() {
 		now := d.clock.Now()
@@ -62,7 +62,7 @@
 		} else {
 			message.Loads = d.placer.LocalLoads()
 		}
-		message.Prefills = d.placer.LocalPrefills(now)
+		message.Prefills = d.placer.LocalPrefills(now, asSummary)
 		message.Demands = d.placer.LocalDemands(now)
 		message.Suspects = d.suspectsToShare(now)
 		configurationAge, endpointsAge := d.dataAges()
--- a/internal/lab/simulator/fleet.go
+++ b/internal/lab/simulator/fleet.go
@@ -304,10 +304,11 @@
 // the peer does not share its engines, and the instance's prefills.
 func (f *Fleet) sendLoads(sender, receiver int, fleet spreader.Fleet) {
 	from, to := f.instances[sender], f.instances[receiver]
-	if fleet.SharesEngines(f.isLocal(sender, receiver)) {
+	sharesEngines := fleet.SharesEngines(f.isLocal(sender, receiver))
+	if sharesEngines {
 		to.ReceiveLoads(f.now, instanceName(sender), from.LocalLoads(), from.LocalDemands(f.now))
 	} else {
 		to.ReceiveDataCentreLoads(f.now, f.dataCentre(sender), from.DataCentreLoads(), from.LocalDemands(f.now))
 	}
-	to.ReceivePrefills(from.LocalPrefills(f.now))
+	to.ReceivePrefills(from.LocalPrefills(f.now, !sharesEngines))
 }
--- a/pkg/placer/block_cache.go
+++ b/pkg/placer/block_cache.go
@@ -47,16 +47,25 @@
 // the engine has cached. It stops at the first block that is not cached.
 func (c *blockCache) cachedTokens(blocks []PromptBlock) int {
 	tokens := 0
-	for _, block := range blocks {
-		if _, ok := c.elements[block.ID]; !ok {
-			break
-		}
+	for _, block := range blocks[:c.cachedBlocks(blocks)] {
 		tokens += block.Tokens
 	}
 
 	return tokens
 }
 
+// cachedBlocks returns the number of leading blocks of a prompt that the engine has
+// cached.
+func (c *blockCache) cachedBlocks(blocks []PromptBlock) int {
+	for i, block := range blocks {
+		if _, ok := c.elements[block.ID]; !ok {
+			return i
+		}
+	}
+
+	return len(blocks)
+}
+
 func (c *blockCache) clear() {
 	clear(c.elements)
 	c.recency.Init()
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -28,8 +28,9 @@
 
 // prefill records which shared blocks an engine prefilled for one prompt, and when.
 type prefill struct {
-	at     time.Time
-	blocks []PromptBlock
+	at       time.Time
+	blocks   []PromptBlock
+	newCount int // how many of the blocks, at the end, the engine did not have cached
 }
 
 func newEndpoint(registered registrar.Endpoint) *endpoint {
@@ -125,14 +126,19 @@
 }
 
 // recentBlockIDs returns the IDs of the shared blocks that the engine prefilled so
-// recently that some peers may not have received them yet.
-func (e *endpoint) recentBlockIDs(now time.Time) []uint64 {
+// recently that some peers may not have received them yet, or only of those that it did
+// not have cached.
+func (e *endpoint) recentBlockIDs(now time.Time, onlyNew bool) []uint64 {
 	for len(e.recentPrefills) > 0 && (now.Sub(e.recentPrefills[0].at) > prefillReportWindow || len(e.recentPrefills) > maxReportedPrefills) {
 		e.recentPrefills = e.recentPrefills[1:]
 	}
 	var ids []uint64
 	for _, recent := range e.recentPrefills {
-		for _, block := range recent.blocks {
+		blocks := recent.blocks
+		if onlyNew {
+			blocks = blocks[len(blocks)-recent.newCount:]
+		}
+		for _, block := range blocks {
 			if !slices.Contains(ids, block.ID) {
 				ids = append(ids, block.ID)
 			}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -222,8 +222,9 @@
 	}
 	if request.PromptTokens > 0 {
 		s.arrivals.record(now, choice)
+		shared := request.sharedBlocks()
+		e.recentPrefills = append(e.recentPrefills, prefill{at: now, blocks: shared, newCount: len(shared) - e.cache.cachedBlocks(shared)})
 		e.cache.addBlocks(request.Blocks)
-		e.recentPrefills = append(e.recentPrefills, prefill{at: now, blocks: request.sharedBlocks()})
 	}
 }
 
@@ -293,11 +294,12 @@
 }
 
 // LocalPrefills returns the IDs of the shared blocks that engines recently prefilled
-// for this instance, by endpoint ID.
-func (p *Placer) LocalPrefills(now time.Time) map[string][]uint64 {
+// for this instance, by endpoint ID, or only of those that the engines did not have
+// cached.
+func (p *Placer) LocalPrefills(now time.Time, onlyNew bool) map[string][]uint64 {
 	prefills := map[string][]uint64{}
 	for id, e := range p.endpoints {
-		if blocks := e.recentBlockIDs(now); len(blocks) > 0 {
+		if blocks := e.recentBlockIDs(now, onlyNew); len(blocks) > 0 {
 			prefills[id] = blocks
 		}
 	}
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -156,6 +156,28 @@
 	assert.Equal(t, pick(t, p, start, shortRequest()).Split, 7, "c comes after b")
 }
 
+// Guards against the instances of a large data centre, whose messages come every two
+// seconds, each deciding its own split between them.
+func TestSplitIsValidBetweenMessagesOfLargeDataCentre(t *testing.T) {
+	p := newPlacer("b", engines(9))
+	p.ReceiveLoads(start, "a", nil, map[string]placer.Demand{"llm": {ShortPromptEngines: 3, LongPromptEngines: 1, Split: 7, EngineCount: 9}})
+	assert.Equal(t, pick(t, p, start.Add(2*time.Second), shortRequest()).Split, 7)
+}
+
+// Guards against other data centres being sent the blocks of each request, instead of
+// those that an engine has just cached.
+func TestOnlyNewBlocksAreReportedToOtherDataCentres(t *testing.T) {
+	p := newPlacer("a", engines(1))
+	for id := range uint64(2) {
+		request := longRequest(1, id)
+		p.RecordSent(start.Add(time.Duration(id)*2*time.Second), id, pick(t, p, start, request), request)
+	}
+	now := start.Add(4 * time.Second)
+	assert.DeepEqual(t, p.LocalPrefills(now, false), map[string][]uint64{"e00": {1}})
+	assert.DeepEqual(t, p.LocalPrefills(now, true), map[string][]uint64{})
+	assert.DeepEqual(t, p.LocalPrefills(start.Add(time.Second), true), map[string][]uint64{})
+}
+
 // When a backlog of long prompts waits at the engines, further long prompts are
 // postponed at once, and short ones are not.
 func TestBacklogPostponesLongPromptsOnly(t *testing.T) {
@@ -202,9 +224,9 @@
 	request := longRequest(1, 1)
 	choice := pick(t, a, start, request)
 	a.RecordSent(start, 1, choice, request)
-	b.ReceivePrefills(a.LocalPrefills(start))
+	b.ReceivePrefills(a.LocalPrefills(start, false))
 	assert.Equal(t, pick(t, b, start, longRequest(1, 2)).UncachedTokens, uniqueTokens)
-	assert.Equal(t, len(a.LocalPrefills(start.Add(time.Minute))), 0)
+	assert.Equal(t, len(a.LocalPrefills(start.Add(time.Minute), false)), 0)
 }
 
 func plainEndpoints(n int) []registrar.Endpoint {
--- a/pkg/placer/service.go
+++ b/pkg/placer/service.go
@@ -99,7 +99,7 @@
 func (s *service) totalDemand(now time.Time) Demand {
 	sum := s.localDemand(now)
 	for peer, demand := range s.peerDemands {
-		if now.Sub(demand.receivedAt) > demandTimeConstant {
+		if now.Sub(demand.receivedAt) > peerDemandTTL {
 			delete(s.peerDemands, peer)
 
 			continue
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -40,8 +40,10 @@
 	// the prompts that wait there.
 	targetBacklogTime = 500 * time.Millisecond
 	// demandTimeConstant is the time constant with which the observed demand
-	// decays. A peer's report of its demand expires after the same time.
+	// decays.
 	demandTimeConstant = 2 * time.Second
+	// peerDemandTTL is how long the demand that a peer reported is valid.
+	peerDemandTTL = 4 * time.Second
 	// initialShortFraction is the fraction of a service's engines in the short group
 	// before any demand has been observed.
 	initialShortFraction = 0.4
@@ -52,8 +54,9 @@
 	// there are too few engines for all prompts. If the short prompts' share of the
 	// demand is larger, that share applies.
 	maxShortFraction = 0.7
-	// peerSplitTTL is how long a split that a peer reported is valid.
-	peerSplitTTL = time.Second
+	// peerSplitTTL is how long a split that a peer reported is valid. In a large data
+	// centre a peer's messages come every two seconds.
+	peerSplitTTL = 4 * time.Second
 	// remoteSplitTTL is how long a split that another data centre reported is valid.
 	// Reports arrive several times a second, and a split changes slowly.
 	remoteSplitTTL = 4 * time.Second
@@ -69,7 +72,7 @@
 	splitTolerance = 0.7
 	// prefillReportWindow is how long the blocks of a prefill are reported to peers.
 	// Every instance receives a message from every other within this time.
-	prefillReportWindow = 1500 * time.Millisecond
+	prefillReportWindow = 3 * time.Second
 	// maxReportedPrefills is the number of prefills of one engine that are reported
 	// to peers at once.
 	maxReportedPrefills = 24
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -32,11 +32,6 @@
 	// fanoutDivisor sets the number of peers contacted in a round, between the two
 	// limits: the number of known peers divided by it.
 	fanoutDivisor = 6
-	// loadIntervalDivisor sets which messages carry loads: every n-th, n being the
-	// number of peers that get them divided by it, but at least 1. In a larger fleet
-	// each instance causes a smaller part of an endpoint's load, and sends its loads
-	// less often in proportion to keep the bytes sent constant.
-	loadIntervalDivisor = 12
 	// summaryInterval sets which messages to other data centres of a divided fleet
 	// carry a summary of the loads: every n-th.
 	summaryInterval = 2
@@ -60,14 +55,7 @@
 
 // CarriesLoads reports whether the n-th message to a peer, counted from 0, carries loads.
 func (f Fleet) CarriesLoads(isLocal bool, n int) bool {
-	switch {
-	case !f.IsDivided():
-		return n%max(1, f.Peers/loadIntervalDivisor) == 0
-	case isLocal:
-		return n%max(1, f.LocalPeers/loadIntervalDivisor) == 0
-	default:
-		return n%summaryInterval == 0
-	}
+	return f.SharesEngines(isLocal) || n%summaryInterval == 0
 }
 
 // SharesEngines reports whether the instance and a peer place requests on the same engines
