--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -57,10 +57,15 @@
 	// livenessTimeout is the time since a peer's last message within which it
 	// counts as live.
 	livenessTimeout = 4 * time.Second
-	// rankTimeout is the time since a peer's last message within which the peer
-	// counts in the ranks of others, and within which messages of its earlier
-	// incarnations are ignored.
-	rankTimeout = time.Second
+	// minRankTimeout is the shortest time since a peer's last message within which the
+	// peer counts in the ranks of others. livenessTimeout is the longest.
+	minRankTimeout = time.Second
+	// maxMissedExchanges is the number of exchanges with a peer that may fail before
+	// the peer no longer counts in the ranks of others.
+	maxMissedExchanges = 3
+	// incarnationTimeout is the time since a peer's last message within which messages
+	// of its earlier incarnations are ignored.
+	incarnationTimeout = time.Second
 	// silentRetryInterval is the time between attempts to reach a peer that is
 	// not live.
 	silentRetryInterval = time.Second
@@ -184,17 +189,18 @@
 
 // describeFleet returns the number of instances, including this one, the number of
 // those that come before it by name, are not leaving and sent a message within
-// rankTimeout, and whether the fleet is divided. Addresses without a name count as
+// their rankTimeout, and whether the fleet is divided. Addresses without a name count as
 // instances until livenessTimeout after they were added.
 func (g *Gossiper) describeFleet(now time.Time) dispatcher.Fleet {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	described := dispatcher.Fleet{InstanceCount: 1, IsDivided: g.fleet().IsDivided()}
+	fleet := g.fleet()
+	described := dispatcher.Fleet{InstanceCount: 1, IsDivided: fleet.IsDivided()}
 	for _, p := range g.peers {
 		if now.Sub(p.lastMessageAt) < removalTimeout || (p.name == "" && now.Sub(p.addedAt) < livenessTimeout) {
 			described.InstanceCount++
 		}
-		if p.name != "" && p.name < g.settings.Name && !p.leaving && now.Sub(p.lastMessageAt) < rankTimeout {
+		if p.name != "" && p.name < g.settings.Name && !p.leaving && now.Sub(p.lastMessageAt) < g.rankTimeout(fleet, p) {
 			described.Rank++
 		}
 	}
@@ -202,6 +208,14 @@
 	return described
 }
 
+// rankTimeout returns the time since a peer's last message within which the peer counts in
+// the ranks of others: some exchanges in a fleet of this size.
+func (g *Gossiper) rankTimeout(fleet spreader.Fleet, p *peer) time.Duration {
+	interval := time.Duration(fleet.RoundsBetweenExchanges(g.settings.Fanout, g.isLocal(p))) * g.settings.RoundInterval
+
+	return min(livenessTimeout, max(minRankTimeout, maxMissedExchanges*interval))
+}
+
 // exchangeWith sends a message to a peer and processes the answer. It then fetches
 // from the peer what the peer has in a newer version.
 func (g *Gossiper) exchangeWith(ctx context.Context, p *peer) {
@@ -237,7 +251,7 @@
 }
 
 // recordSender updates the peer that sent a message. It reports false if the peer's
-// later incarnation sent one within rankTimeout, or if the sender's address is not
+// later incarnation sent one within incarnationTimeout, or if the sender's address is not
 // stored because it is empty, this instance's own or exceeds maxPeers.
 func (g *Gossiper) recordSender(now time.Time, message *gossipwire.Message) bool {
 	g.AddAddresses([]string{message.GetAddress()})
@@ -247,9 +261,9 @@
 	if p == nil {
 		return false
 	}
-	// A lower incarnation is accepted after rankTimeout, because the machine's time
+	// A lower incarnation is accepted after incarnationTimeout, because the machine's time
 	// of day, which the incarnation comes from, may go back between two starts.
-	if message.GetIncarnation() < p.incarnation && now.Sub(p.lastMessageAt) < rankTimeout {
+	if message.GetIncarnation() < p.incarnation && now.Sub(p.lastMessageAt) < incarnationTimeout {
 		return false
 	}
 	if p.incarnation != message.GetIncarnation() || p.leaving != message.GetLeaving() {
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -107,6 +107,24 @@
 
 // applyConfiguration passes a configuration with a number to an instance, as if a
 // read sent at the given time had confirmed it.
+// Guards against several instances of a large fleet taking themselves for the first, which
+// reads from the platform for all: a pair's messages come less often there.
+func TestRanksOfLargeFleetDoNotChange(t *testing.T) {
+	runFleet(t, 60, func(t *testing.T, _ *piper.Network, instances []testInstance, _ func() time.Duration) {
+		time.Sleep(8 * time.Second)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			first := 0
+			for _, i := range instances {
+				if i.dispatcher.Rank() == 0 {
+					first++
+				}
+			}
+			assert.Equal(t, first, 1)
+		}
+	})
+}
+
 func applyConfiguration(i testInstance, sentAt time.Duration, number uint64) {
 	i.dispatcher.ApplyConfiguration(sentAt, matcher.New(matcher.Configuration{Number: number}), dispatcher.StoredConfiguration{
 		Spec: []byte(strconv.FormatUint(number, 10)), Version: number,
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -53,6 +53,22 @@
 	return peers, localPeers
 }
 
+// RoundsBetweenExchanges returns the usual number of rounds between two exchanges with the
+// same peer, if the peers contact each other equally often; at least 1.
+func (f Fleet) RoundsBetweenExchanges(fanout Fanout, isLocal bool) int {
+	peers := f.Peers
+	contacts, localContacts := f.PeersPerRound(fanout)
+	switch {
+	case !f.IsDivided():
+	case isLocal:
+		peers, contacts = f.LocalPeers, localContacts
+	default:
+		peers, contacts = f.Peers-f.LocalPeers, contacts-localContacts
+	}
+
+	return max(1, peers/max(1, 2*contacts))
+}
+
 // CarriesLoads reports whether the n-th message to a peer, counted from 0, carries loads.
 func (f Fleet) CarriesLoads(isLocal bool, n int) bool {
 	return f.SharesEngines(isLocal) || n%summaryInterval == 0
--- a/pkg/spreader/spreader_test.go
+++ b/pkg/spreader/spreader_test.go
@@ -21,6 +21,9 @@
 		assert.Assert(t, fleet.SharesEngines(true))
 		assert.Equal(t, fleet.SharesEngines(false), !fleet.IsDivided())
 		assert.Equal(t, localCount > 0, fleet.IsDivided(), "in a divided fleet, each round reaches local peers")
+		if fleet.IsDivided() {
+			assert.Assert(t, fleet.RoundsBetweenExchanges(fanout, true) <= max(1, fleet.LocalPeers), "a large fleet does not delay local exchanges")
+		}
 		for _, isLocal := range []bool{true, false} {
 			assert.Assert(t, fleet.CarriesLoads(isLocal, 0), "the first message carries loads")
 		}
