--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"math"
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
@@ -76,13 +77,13 @@
 func EncodeLoad(endpoint string, load placer.Load) *gossipwire.Load {
 	return &gossipwire.Load{
 		Endpoint: endpoint, Running: uint32(max(0, load.RunningRequests)), Short: uint32(max(0, load.RunningShortPrompts)),
-		Pending: uint32(max(0, load.PendingTokens)), Lower: encodeLowerTiers(load.LowerTiers[:]),
+		Pending: uint32(max(0, load.PendingTokens)), Lower: encodeLowerTiers(load.LowerTiers),
 	}
 }
 
 // encodeLowerTiers returns the wire form of the numbers of requests in the lower tiers,
 // without zeros at the end.
-func encodeLowerTiers(requests []int) []uint32 {
+func encodeLowerTiers(requests placer.LowerTiers) []uint32 {
 	var encoded []uint32
 	for i, count := range requests {
 		if count > 0 {
@@ -99,7 +100,7 @@
 	decoded := placer.Load{RunningRequests: int(load.GetRunning()), RunningShortPrompts: int(load.GetShort()), PendingTokens: int(load.GetPending())}
 	for i, count := range load.GetLower() {
 		if i < len(decoded.LowerTiers) {
-			decoded.LowerTiers[i] = int(count)
+			decoded.LowerTiers[i] = int16(min(count, math.MaxInt16))
 		}
 	}
 
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -68,6 +68,7 @@
 	}
 	p.peerLoads.addTo(p.endpoints)
 	for _, s := range p.services {
+		s.updateDataCentres()
 		slices.SortFunc(s.endpoints, func(a, b *endpoint) int {
 			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.ID, b.ID))
 		})
@@ -161,7 +162,7 @@
 func (p *Placer) pickLongPromptEngine(s, local *search) *endpoint {
 	localGroup := local.longGroup(s.service.split(s.now, len(local.eligible)))
 	var remoteGroup []*endpoint
-	for _, dataCentre := range s.dataCentres() {
+	for _, dataCentre := range s.service.dataCentres {
 		if dataCentre != s.dataCentre {
 			remote := s.restrict(func(e *endpoint) bool { return e.DataCentre == dataCentre })
 			remoteGroup = append(remoteGroup, remote.longGroup(s.service.remoteSplit(s.now, dataCentre, len(remote.eligible)))...)
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -123,15 +123,18 @@
 	PendingTokens int
 	// LowerTiers[i] is the number of the requests in flight that have tier i+1. The
 	// others have tier 0.
-	LowerTiers [TierCount - 1]int
+	LowerTiers LowerTiers
 }
 
+// LowerTiers holds a number of requests for each tier below the highest.
+type LowerTiers [TierCount - 1]int16
+
 // requestsUpTo returns the number of requests in flight that have a tier or a higher one:
 // those that an engine does not preempt for a request of the tier.
 func (l Load) requestsUpTo(tier int) int {
 	requests := l.RunningRequests
 	for _, lower := range l.LowerTiers[min(max(tier, 0), TierCount-1):] {
-		requests -= lower
+		requests -= int(lower)
 	}
 
 	return requests
@@ -141,7 +144,7 @@
 func (l *Load) addRequest(tier, count int) {
 	l.RunningRequests += count
 	if tier > 0 {
-		l.LowerTiers[min(tier, TierCount-1)-1] += count
+		l.LowerTiers[min(tier, TierCount-1)-1] += int16(count)
 	}
 }
 
@@ -153,7 +156,7 @@
 		PendingTokens:       l.PendingTokens + factor*other.PendingTokens,
 	}
 	for i := range sum.LowerTiers {
-		sum.LowerTiers[i] = l.LowerTiers[i] + factor*other.LowerTiers[i]
+		sum.LowerTiers[i] = l.LowerTiers[i] + int16(factor)*other.LowerTiers[i]
 	}
 
 	return sum
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -136,17 +136,6 @@
 	return s.candidates[s.scaleSplit(split):]
 }
 
-// dataCentres returns the data centres of the eligible engines, sorted by name.
-func (s *search) dataCentres() []string {
-	var names []string
-	for _, e := range s.eligible {
-		names = append(names, e.DataCentre)
-	}
-	slices.Sort(names)
-
-	return slices.Compact(names)
-}
-
 func (s *search) isLongPrompt() bool {
 	return s.request.PromptTokens >= s.service.minLongPromptTokens
 }
--- a/pkg/placer/service.go
+++ b/pkg/placer/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -9,6 +10,7 @@
 type service struct {
 	instanceName          string        // of this instance
 	endpoints             []*endpoint   // sorted by rank
+	dataCentres           []string      // of the endpoints, sorted
 	prefillRate           float64       // prompt tokens that an engine prefills per millisecond
 	minLongPromptTokens   int           // prompts of at least this length are long
 	meanRunTime           time.Duration // of a request from its first event to its end
@@ -48,6 +50,16 @@
 	}
 }
 
+// updateDataCentres finds the data centres of the endpoints.
+func (s *service) updateDataCentres() {
+	s.dataCentres = s.dataCentres[:0]
+	for _, e := range s.endpoints {
+		s.dataCentres = append(s.dataCentres, e.DataCentre)
+	}
+	slices.Sort(s.dataCentres)
+	s.dataCentres = slices.Compact(s.dataCentres)
+}
+
 // updatePrefillRate learns the prefill rate from the time to a first token. Waiting
 // makes an engine look slower than it is, so slower observations weigh a quarter of
 // faster ones.
