--- a/internal/publisher/store.go
+++ b/internal/publisher/store.go
@@ -54,6 +54,9 @@
 	Spec json.RawMessage
 	// Status is what is known about the object. It is written separately from Spec.
 	Status json.RawMessage
+	// Epoch is the store's epoch in which the object was read or written. Versions of
+	// different epochs cannot be compared.
+	Epoch uint64
 }
 
 // Page is a part of a listing, in the order of the objects' names.
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -1,7 +1,11 @@
 // Package storer is a client of the platform's object API: a store of versioned
 // objects with conditional writes and watches.
 //
-// A Client keeps no state but its connections. Each call has a timeout. After a call
+// A store may come back from an older copy of its objects. It then has a higher epoch, and
+// gives out versions again. A Client refuses answers of a lower epoch than the highest
+// that it has seen, which may still arrive on other connections.
+//
+// A Client keeps no state but its connections and that epoch. Each call has a timeout. After a call
 // without an answer, the idle connections are closed, so that the next call uses a
 // new one. The error of a failed write tells whether it certainly had no effect
 // (ErrUnavailable, ErrRateLimited, ErrConflict, ErrTooLarge) or may have taken effect
@@ -39,13 +43,14 @@
 	httpClient *http.Client
 	timeout    time.Duration
 	dialect    Dialect
+	epoch      *atomic.Uint64 // the highest seen; shared by the copies of the client
 }
 
 // New returns a client of the object API at a base URL such as
 // "http://10.0.0.1:7000". The HTTP client must not be shared with other users, because
 // its idle connections are closed after a call without an answer.
 func New(baseURL string, httpClient *http.Client) *Client {
-	return &Client{baseURL: baseURL, httpClient: httpClient, timeout: defaultTimeout, dialect: nativeDialect{}}
+	return &Client{baseURL: baseURL, httpClient: httpClient, timeout: defaultTimeout, dialect: nativeDialect{}, epoch: &atomic.Uint64{}}
 }
 
 // WithDialect returns a copy of the client that uses another dialect of the API.
@@ -65,11 +70,18 @@
 	return &clone
 }
 
+// Epoch returns the highest epoch of the store that the client has seen; 0 if the store
+// states none.
+func (c *Client) Epoch() uint64 {
+	return c.epoch.Load()
+}
+
 // Get returns one object, or ErrNotFound if it does not exist.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var object Object
-	_, err := c.call(ctx, Call{Verb: Get, Kind: kind, Name: name}, func(body []byte) (err error) {
+	_, err := c.call(ctx, Call{Verb: Get, Kind: kind, Name: name}, func(epoch uint64, body []byte) (err error) {
 		object, err = c.dialect.DecodeObject(kind, body)
+		object.Epoch = epoch
 
 		return err
 	})
@@ -81,8 +93,12 @@
 // order of their names. A platform may return fewer.
 func (c *Client) List(ctx context.Context, kind, afterName string, limit int) (Page, error) {
 	var page Page
-	_, err := c.call(ctx, Call{Verb: List, Kind: kind, AfterName: afterName, MaxItems: limit}, func(body []byte) (err error) {
+	_, err := c.call(ctx, Call{Verb: List, Kind: kind, AfterName: afterName, MaxItems: limit}, func(epoch uint64, body []byte) (err error) {
 		page, err = c.dialect.DecodePage(kind, body)
+		page.Epoch = epoch
+		for i := range page.Items {
+			page.Items[i].Epoch = epoch
+		}
 
 		return err
 	})
@@ -111,8 +127,9 @@
 		return Object{}, newCallError(errors.Errorf("%s of %d bytes", call.Verb, len(call.Value)), ErrTooLarge)
 	}
 	var object Object
-	_, err := c.call(ctx, call, func(body []byte) (err error) {
+	_, err := c.call(ctx, call, func(epoch uint64, body []byte) (err error) {
 		object, err = c.dialect.DecodeObject(call.Kind, body)
+		object.Epoch = epoch
 
 		return err
 	})
@@ -133,8 +150,9 @@
 	ctx context.Context, kind, name string, afterVersion uint64, maxWait time.Duration,
 ) (object Object, changed bool, err error) {
 	watch := Call{Verb: Watch, Kind: kind, Name: name, AfterVersion: afterVersion, MaxWait: maxWait}
-	changed, err = c.call(ctx, watch, func(body []byte) (err error) {
+	changed, err = c.call(ctx, watch, func(epoch uint64, body []byte) (err error) {
 		object, err = c.dialect.DecodeObject(kind, body)
+		object.Epoch = epoch
 
 		return err
 	})
@@ -149,8 +167,12 @@
 	ctx context.Context, kind string, afterCounter uint64, maxWait time.Duration,
 ) (changes Changes, changed bool, err error) {
 	watch := Call{Verb: Watch, Kind: kind, AfterVersion: afterCounter, MaxWait: maxWait}
-	changed, err = c.call(ctx, watch, func(body []byte) (err error) {
+	changed, err = c.call(ctx, watch, func(epoch uint64, body []byte) (err error) {
 		changes, err = c.dialect.DecodeChanges(kind, body)
+		changes.Epoch = epoch
+		for i := range changes.Items {
+			changes.Items[i].Epoch = epoch
+		}
 
 		return err
 	})
@@ -163,7 +185,7 @@
 	var answer struct {
 		Instances []Instance `json:"instances"`
 	}
-	_, err := c.call(ctx, Call{Verb: List, Kind: instancesKind}, func(body []byte) error {
+	_, err := c.call(ctx, Call{Verb: List, Kind: instancesKind}, func(_ uint64, body []byte) error {
 		return json.Unmarshal(body, &answer)
 	})
 
@@ -172,7 +194,7 @@
 
 // call makes a call and decodes its answer. It returns false without an error if a
 // watch ended without a change.
-func (c *Client) call(ctx context.Context, call Call, decode func([]byte) error) (bool, error) {
+func (c *Client) call(ctx context.Context, call Call, decode func(uint64, []byte) error) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+call.MaxWait)
 	defer cancel()
 
@@ -204,7 +226,33 @@
 		return false, c.unansweredError(err, call.isWrite())
 	}
 
-	return c.decodeResponse(call, response.StatusCode, body, decode)
+	epoch, err := c.recordEpoch(call, c.dialect.Epoch(response.Header))
+	if err != nil {
+		return false, err
+	}
+
+	return c.decodeResponse(call, response.StatusCode, epoch, body, decode)
+}
+
+// recordEpoch returns the epoch of an answer that states one, or else the highest epoch
+// seen. It returns an error if the answer is of a lower epoch than that.
+func (c *Client) recordEpoch(call Call, stated uint64) (uint64, error) {
+	for {
+		highest := c.epoch.Load()
+		switch {
+		case stated == 0 || stated == highest:
+			return highest, nil
+		case stated < highest:
+			cause := errors.Errorf("%s %s/%s: answer of epoch %d after epoch %d", call.Verb, call.Kind, call.Name, stated, highest)
+			if call.isWrite() {
+				return 0, newCallError(cause, ErrWriteInDoubt, ErrEarlierEpoch)
+			}
+
+			return 0, newCallError(cause, ErrUnavailable, ErrEarlierEpoch)
+		case c.epoch.CompareAndSwap(highest, stated):
+			return stated, nil
+		}
+	}
 }
 
 // unansweredError returns the error for a call that got no complete answer. It also
@@ -221,17 +269,17 @@
 
 // decodeResponse maps the status of a response to the result of a call and decodes the
 // body. An answer that cannot be decoded leaves the result of a write in doubt.
-func (c *Client) decodeResponse(call Call, status int, body []byte, decode func([]byte) error) (bool, error) {
+func (c *Client) decodeResponse(call Call, status int, epoch uint64, body []byte, decode func(uint64, []byte) error) (bool, error) {
 	if status == http.StatusNotModified {
 		return false, nil
 	}
 	if status/100 != 2 {
-		return false, c.statusError(call, status, body)
+		return false, c.statusError(call, status, epoch, body)
 	}
 	if decode == nil {
 		return true, nil
 	}
-	if err := decode(body); err != nil {
+	if err := decode(epoch, body); err != nil {
 		if call.isWrite() {
 			return false, newCallError(err, ErrWriteInDoubt)
 		}
@@ -245,7 +293,7 @@
 // statusError returns the error for an HTTP error status. Of the statuses 429 and 5xx
 // only 429 and 503, which the store itself sends, prove that a write had no effect. Any
 // other 5xx may come from an intermediary that lost the store's answer.
-func (c *Client) statusError(call Call, status int, body []byte) error {
+func (c *Client) statusError(call Call, status int, epoch uint64, body []byte) error {
 	cause := errors.Errorf("%s %s/%s: status %d", call.Verb, call.Kind, call.Name, status)
 	switch status {
 	case http.StatusNotFound:
@@ -256,6 +304,8 @@
 			return newCallError(err, ErrWriteInDoubt)
 		}
 
+		current.Epoch = epoch
+
 		return &ConflictError{Current: current}
 	case http.StatusTooManyRequests:
 		return newCallError(cause, ErrRateLimited, ErrUnavailable)
--- a/internal/storer/dialect.go
+++ b/internal/storer/dialect.go
@@ -74,6 +74,10 @@
 	DecodePage(kind string, body []byte) (Page, error)
 	// DecodeChanges decodes the answer of a watch of a whole kind.
 	DecodeChanges(kind string, body []byte) (Changes, error)
+	// Epoch returns the store's epoch from the header of an answer: a number that rises
+	// each time the store comes back from an older copy of its objects. It is 0 if
+	// the answer does not state it.
+	Epoch(header http.Header) uint64
 	// ConflictStatus returns the HTTP status that answers a write whose condition
 	// did not hold. The body of such an answer is the current object.
 	ConflictStatus() int
@@ -174,6 +178,11 @@
 	return changes, err
 }
 
+// Epoch returns 0, because the stand-in never loses a write.
+func (nativeDialect) Epoch(http.Header) uint64 {
+	return 0
+}
+
 // ConflictStatus returns 412.
 func (nativeDialect) ConflictStatus() int {
 	return http.StatusPreconditionFailed
--- a/internal/storer/errors.go
+++ b/internal/storer/errors.go
@@ -19,6 +19,10 @@
 	// ErrUnavailable means that the store could not be used and that the call had no
 	// effect.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrEarlierEpoch means that an answer is of an earlier epoch of the store than one
+	// that the client has seen, so that its contents may be lost. Such an error is also
+	// ErrUnavailable, or ErrWriteInDoubt for a write.
+	ErrEarlierEpoch = errors.New("answer of an earlier store epoch")
 	// ErrWriteInDoubt means that a write may have been sent but got no usable answer.
 	// It may have taken effect.
 	ErrWriteInDoubt = errors.New("write outcome unknown")
--- a/internal/storer/object.go
+++ b/internal/storer/object.go
@@ -15,6 +15,9 @@
 	Spec json.RawMessage `json:"spec,omitempty"`
 	// Status is what is known about the object. It is written separately from Spec.
 	Status json.RawMessage `json:"status,omitempty"`
+	// Epoch is the store's epoch in which the object was read or written. Versions of
+	// different epochs cannot be compared.
+	Epoch uint64 `json:"-"`
 }
 
 // Page is a part of a listing, in the order of the objects' names.
@@ -24,6 +27,8 @@
 	Items        []Object `json:"items"`
 	// HasMore is true if the listing has further pages.
 	HasMore bool `json:"more"`
+	// Epoch is the store's epoch at the time of the listing.
+	Epoch uint64 `json:"-"`
 }
 
 // Changes are the changes to the objects of one kind after a value of the store's
@@ -35,6 +40,8 @@
 	Items []Object `json:"items"`
 	// DeletedNames are the names of the objects that were deleted.
 	DeletedNames []string `json:"gone"`
+	// Epoch is the store's epoch after the changes.
+	Epoch uint64 `json:"-"`
 }
 
 // States of an instance in the platform's instance list.
