--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -83,7 +83,8 @@
 	done    chan struct{}
 
 	lastConfiguration *matcher.Matcher
-	lastVersion       uint64 // the store's version of lastConfiguration
+	lastVersion       uint64 // the store's version of lastConfiguration, in lastEpoch
+	lastEpoch         uint64
 }
 
 // New returns a Watcher. Serve runs it.
@@ -170,12 +171,12 @@
 	if err != nil {
 		return err
 	}
-	if w.lastConfiguration == nil || object.Version != w.lastVersion {
+	if w.lastConfiguration == nil || object.Version != w.lastVersion || object.Epoch != w.lastEpoch {
 		decoded, err := w.decoder.DecodeConfiguration(object)
 		if err != nil {
 			return err
 		}
-		w.lastConfiguration, w.lastVersion = matcher.New(decoded), object.Version
+		w.lastConfiguration, w.lastVersion, w.lastEpoch = matcher.New(decoded), object.Version, object.Epoch
 	}
 	w.control.ApplyConfiguration(sentAt, w.lastConfiguration, dispatcher.StoredConfiguration{Spec: object.Spec, Version: object.Version})
 
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -25,6 +25,7 @@
 	mu          sync.Mutex
 	getCount    int
 	version     uint64
+	epoch       uint64
 	answerDelay time.Duration
 	unavailable bool
 }
@@ -39,7 +40,7 @@
 func (s *fakeStore) Get(ctx context.Context, _, name string) (storer.Object, error) {
 	s.mu.Lock()
 	s.getCount++
-	version, unavailable, answerDelay := s.version, s.unavailable, s.answerDelay
+	version, epoch, unavailable, answerDelay := s.version, s.epoch, s.unavailable, s.answerDelay
 	s.mu.Unlock()
 	select {
 	case <-time.After(answerDelay):
@@ -49,7 +50,7 @@
 		return storer.Object{}, storer.ErrUnavailable
 	}
 
-	return storer.Object{Name: name, Version: version}, nil
+	return storer.Object{Name: name, Version: version, Epoch: epoch}, nil
 }
 
 func (s *fakeStore) List(_ context.Context, _, after string, _ int) (storer.Page, error) {
@@ -65,8 +66,10 @@
 func (fakeDecoder) ConfigurationKindAndName() (kind, name string) { return "configurations", "main" }
 func (fakeDecoder) EndpointKind() string                          { return "endpoints" }
 
+// DecodeConfiguration returns a configuration with a number that differs between the
+// epochs of a version.
 func (fakeDecoder) DecodeConfiguration(object storer.Object) (matcher.Configuration, error) {
-	return matcher.Configuration{Number: object.Version}, nil
+	return matcher.Configuration{Number: object.Version + 100*object.Epoch}, nil
 }
 
 func (fakeDecoder) DecodeEndpoint(object storer.Object) (registrar.Endpoint, error) {
@@ -97,6 +100,19 @@
 	})
 }
 
+// Guards against an older configuration staying in force, and being confirmed, because the
+// store came back from a copy and gave its version out again for a newer one.
+func TestVersionOfAnotherEpochIsDecodedAgain(t *testing.T) {
+	s := &fakeStore{version: 3}
+	runWatcher(t, s, 0, func(t *testing.T, d *dispatcher.Dispatcher, _ func() time.Duration) {
+		time.Sleep(time.Second)
+		assert.Equal(t, d.Matcher().Number(), uint64(3))
+		s.update(func(s *fakeStore) { s.epoch = 1 })
+		time.Sleep(time.Second)
+		assert.Equal(t, d.Matcher().Number(), uint64(103))
+	})
+}
+
 func TestWatcherReadsAtStartAndWhenDataAges(t *testing.T) {
 	s := &fakeStore{version: 3, answerDelay: 5 * time.Millisecond}
 	runWatcher(t, s, 0, func(t *testing.T, d *dispatcher.Dispatcher, _ func() time.Duration) {
