--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -88,6 +88,8 @@
 	listedEndpoints     []registrar.Endpoint
 	listingDigest       uint64
 	listingReadAt       time.Duration // time since boot at which the listing's read was sent
+	listingEpoch        uint64        // epoch of the store in which the listing was read
+	storeEpoch          uint64        // the highest epoch of the store that is known
 	onLoadChange        func(endpoint string, load placer.Load)
 }
 
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -37,6 +37,8 @@
 	// EndpointsDigest is the digest of the listing; 0 if the instance has none.
 	EndpointsDigest uint64
 	EndpointsAge    time.Duration
+	// EndpointsEpoch is the epoch of the store in which the listing was read.
+	EndpointsEpoch uint64
 }
 
 // FetchPlan says which data to fetch from a peer, because the peer has a newer or different
@@ -71,6 +73,7 @@
 		}
 		if endpointsAge >= 0 {
 			message.Versions.EndpointsDigest, message.Versions.EndpointsAge = d.listingDigest, endpointsAge
+			message.Versions.EndpointsEpoch = d.listingEpoch
 		}
 	})
 
@@ -98,7 +101,8 @@
 	d.runAndWait(func() { d.placer.ReceiveLoadUpdate(peer, endpoint, load) })
 }
 
-// ReceiveVersions compares a peer's versions with the local ones. Equal versions confirm the
+// ReceiveVersions compares a peer's versions with the local ones. A listing of a later
+// epoch of the store is newer than one of an earlier epoch. Equal versions confirm the
 // local data; the result says which data to fetch. The versions came in a reply to a
 // message that was sent at the given time since boot. The peer's reads were sent no
 // earlier than that time less their age, so the data counts from then and never seems
@@ -115,7 +119,10 @@
 		}
 		readAt := sentAt - versions.EndpointsAge
 		switch {
-		case versions.EndpointsDigest == 0 || (d.registry.HasListing() && readAt <= d.listingReadAt):
+		case versions.EndpointsDigest == 0 || versions.EndpointsEpoch < d.listingEpoch:
+		case versions.EndpointsEpoch > d.listingEpoch:
+			plan.Endpoints = true
+		case d.registry.HasListing() && readAt <= d.listingReadAt:
 		case d.registry.HasListing() && versions.EndpointsDigest == d.listingDigest:
 			d.listingReadAt = readAt
 			d.registry.RecordReachable(d.clock.Now())
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -23,6 +23,8 @@
 type RegistrySnapshot struct {
 	Endpoints []registrar.Endpoint
 	Digest    uint64
+	// Epoch is the epoch of the store in which the listing was read.
+	Epoch uint64
 	// HasListing is false if the endpoints have never been listed.
 	HasListing bool
 }
@@ -61,15 +63,16 @@
 	d.sharedLease.Store(&lease)
 }
 
-// ApplyListing replaces the registered endpoints by a complete listing. The read that returned
-// the listing was sent at the given time since boot. A listing that is older than the
-// last one is ignored.
-func (d *Dispatcher) ApplyListing(sentAt time.Duration, endpoints []registrar.Endpoint) {
+// ApplyListing replaces the registered endpoints by a complete listing of the given epoch of
+// the store. The read that returned the listing was sent at the given time since boot. A
+// listing that is older than the last one, or of an earlier epoch, is ignored.
+func (d *Dispatcher) ApplyListing(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint) {
 	d.runAndWait(func() {
-		if d.registry.HasListing() && sentAt < d.listingReadAt {
+		d.recordEpoch(epoch)
+		if d.registry.HasListing() && (epoch < d.listingEpoch || (epoch == d.listingEpoch && sentAt < d.listingReadAt)) {
 			return
 		}
-		d.listingReadAt = sentAt
+		d.listingReadAt, d.listingEpoch = sentAt, epoch
 		digest := digestEndpoints(endpoints)
 		now := d.clock.Now()
 		d.registry.RecordReachable(now)
@@ -85,6 +88,23 @@
 	})
 }
 
+// recordEpoch notices that the store came back from an older copy.
+func (d *Dispatcher) recordEpoch(epoch uint64) {
+	if epoch <= d.storeEpoch {
+		return
+	}
+	if d.storeEpoch > 0 {
+		number := uint64(0)
+		if current := d.currentMatcher.Load(); current != nil {
+			number = current.Number()
+		}
+		d.logger.Warn("The store came back from an older copy.", "epoch", epoch, "epoch before", d.storeEpoch,
+			"configuration", number, "endpoints", len(d.registry.Endpoints()))
+		d.registry.RecordRestored(d.clock.Now())
+	}
+	d.storeEpoch = epoch
+}
+
 // digestEndpoints returns a hash of a listing: of every field of its endpoints, in the
 // order in which they are listed.
 func digestEndpoints(endpoints []registrar.Endpoint) uint64 {
@@ -134,7 +154,7 @@
 func (d *Dispatcher) Snapshot() (stored StoredConfiguration, registry RegistrySnapshot) {
 	d.runAndWait(func() {
 		stored = d.storedConfiguration
-		registry = RegistrySnapshot{Endpoints: d.listedEndpoints, Digest: d.listingDigest, HasListing: d.registry.HasListing()}
+		registry = RegistrySnapshot{Endpoints: d.listedEndpoints, Digest: d.listingDigest, Epoch: d.listingEpoch, HasListing: d.registry.HasListing()}
 	})
 
 	return stored, registry
--- a/internal/gossiper/fetch.go
+++ b/internal/gossiper/fetch.go
@@ -29,6 +29,7 @@
 	if request.GetEndpoints() && endpointsAge >= 0 {
 		reply.Listed = true
 		reply.EndpointsAgeMs = toMilliseconds(endpointsAge)
+		reply.EndpointsEpoch = registry.Epoch
 		for _, e := range registry.Endpoints {
 			reply.Endpoints = append(reply.Endpoints, &gossipwire.Endpoint{
 				Id: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
@@ -59,7 +60,7 @@
 		g.applyConfiguration(sentAt-time.Duration(reply.GetAgeMs())*time.Millisecond, reply)
 	}
 	if reply.GetListed() {
-		g.dispatcher.ApplyListing(sentAt-time.Duration(reply.GetEndpointsAgeMs())*time.Millisecond, decodeEndpoints(reply.GetEndpoints()))
+		g.dispatcher.ApplyListing(sentAt-time.Duration(reply.GetEndpointsAgeMs())*time.Millisecond, reply.GetEndpointsEpoch(), decodeEndpoints(reply.GetEndpoints()))
 	}
 }
 
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -60,7 +60,7 @@
 		for i := range count {
 			name := fmt.Sprintf("i%d", i)
 			d := dispatcher.New(dispatcher.Settings{
-				Name: name, KeyLeaseDuration: keyLease,
+				Name: name, KeyLeaseDuration: keyLease, ReregistrationWindow: 2 * time.Second,
 				RepeatLimits: retrier.RepeatLimiterSettings{Window: 10 * time.Second, Burst: 7},
 			}, dispatcher.Clock{Now: time.Now, SinceBoot: sinceBoot}, hclog.NewNullLogger())
 			settings := gossiper.DefaultSettings()
@@ -107,6 +107,38 @@
 
 // applyConfiguration passes a configuration with a number to an instance, as if a
 // read sent at the given time had confirmed it.
+// Guards against an instance dropping endpoints, or going back to an older listing, because
+// a peer saw before it that the store came back from an older copy.
+func TestEpochOfListingSpreadsWithIt(t *testing.T) {
+	runFleet(t, 2, func(t *testing.T, _ *piper.Network, instances []testInstance, sinceBoot func() time.Duration) {
+		endpoint := func(id string) registrar.Endpoint {
+			return registrar.Endpoint{ID: id, Service: "s", Address: id + ":80", Slots: 6}
+		}
+		has := func(id string) bool {
+			request := placer.Request{Service: "s"}
+			if id == "a" {
+				request.AvoidEndpoints = []string{"b"}
+			} else {
+				request.AvoidEndpoints = []string{"a"}
+			}
+			placement, ok := instances[1].dispatcher.Place(request, true)
+
+			return ok && placement.EndpointID == id
+		}
+		for _, i := range instances {
+			applyConfiguration(i, sinceBoot(), 1)
+			i.dispatcher.ApplyListing(sinceBoot(), 1, []registrar.Endpoint{endpoint("a"), endpoint("b")})
+		}
+		time.Sleep(time.Second)
+		instances[0].dispatcher.ApplyListing(sinceBoot(), 2, []registrar.Endpoint{endpoint("a")})
+		time.Sleep(time.Second)
+		assert.Assert(t, has("a") && has("b"), "endpoints that the copy lacks are kept")
+		instances[1].dispatcher.ApplyListing(sinceBoot(), 1, []registrar.Endpoint{endpoint("b")})
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, has("a") && !has("b"), "a listing of an earlier epoch is ignored")
+	})
+}
+
 // Guards against several instances of a large fleet taking themselves for the first, which
 // reads from the platform for all: a pair's messages come less often there.
 func TestRanksOfLargeFleetDoNotChange(t *testing.T) {
@@ -138,7 +170,7 @@
 		time.Sleep(time.Second)
 		readAt := sinceBoot()
 		applyConfiguration(instances[3], readAt, 7)
-		instances[3].dispatcher.ApplyListing(readAt, []registrar.Endpoint{{ID: "e", Service: "s", Address: "e:80", Slots: 6, Draining: true, StartedUnixMs: 9}})
+		instances[3].dispatcher.ApplyListing(readAt, 0, []registrar.Endpoint{{ID: "e", Service: "s", Address: "e:80", Slots: 6, Draining: true, StartedUnixMs: 9}})
 		time.Sleep(time.Second)
 		for _, i := range instances {
 			assert.Assert(t, i.dispatcher.Matcher() != nil)
@@ -223,7 +255,7 @@
 		endpoints := []registrar.Endpoint{{ID: "a", Service: "s", Address: "a:80", Slots: 6}, {ID: "b", Service: "s", Address: "b:80", Slots: 6}}
 		for _, i := range instances {
 			applyConfiguration(i, sinceBoot(), 1)
-			i.dispatcher.ApplyListing(sinceBoot(), endpoints)
+			i.dispatcher.ApplyListing(sinceBoot(), 0, endpoints)
 		}
 		request := placer.Request{Service: "s"}
 		firstPlacement, _ := instances[7].dispatcher.Place(request, true)
@@ -289,7 +321,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _ = d.Serve(ctx) }()
 		go func() { _ = restarted.Serve(ctx) }()
-		d.ApplyListing(sinceBoot(), []registrar.Endpoint{{ID: "e", Service: "s", Address: "e:80", Slots: 6}})
+		d.ApplyListing(sinceBoot(), 0, []registrar.Endpoint{{ID: "e", Service: "s", Address: "e:80", Slots: 6}})
 		time.Sleep(3 * time.Second)
 		_, registry := instances[0].dispatcher.Snapshot()
 		assert.Equal(t, len(registry.Endpoints), 1)
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -36,6 +36,7 @@
 		AgeMs:          toMilliseconds(state.Versions.ConfigurationAge),
 		Digest:         state.Versions.EndpointsDigest,
 		EndpointsAgeMs: toMilliseconds(state.Versions.EndpointsAge),
+		EndpointsEpoch: state.Versions.EndpointsEpoch,
 	}
 	if recipientAddressCount < len(addresses) {
 		message.Members = addresses
@@ -168,6 +169,7 @@
 		ConfigurationAge:    time.Duration(message.GetAgeMs()) * time.Millisecond,
 		EndpointsDigest:     message.GetDigest(),
 		EndpointsAge:        time.Duration(message.GetEndpointsAgeMs()) * time.Millisecond,
+		EndpointsEpoch:      message.GetEndpointsEpoch(),
 	}
 
 	return decoded
--- a/internal/relayer/attempt_test.go
+++ b/internal/relayer/attempt_test.go
@@ -130,7 +130,7 @@
 				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok", request.Header.Get("X-Id"))
 			}
 		})
-		h.dispatcher.ApplyListing(h.bootClock(), []registrar.Endpoint{{ID: "raw", Service: "api", Address: "raw:80", Slots: 6}})
+		h.dispatcher.ApplyListing(h.bootClock(), 0, []registrar.Endpoint{{ID: "raw", Service: "api", Address: "raw:80", Slots: 6}})
 		for i, want := range []int{http.StatusOK, http.StatusBadGateway} {
 			response, _, err := h.send(h.newRequest(http.MethodGet, "/once/x", ""))
 			assert.NilError(t, err)
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -145,7 +145,7 @@
 			handler(w, request)
 		}))
 	}
-	h.dispatcher.ApplyListing(h.bootClock(), endpoints)
+	h.dispatcher.ApplyListing(h.bootClock(), 0, endpoints)
 }
 
 // arrivalCount returns the number of requests that reached an endpoint.
--- a/internal/relayer/raw_connection_test.go
+++ b/internal/relayer/raw_connection_test.go
@@ -20,7 +20,7 @@
 func (h *harness) serveRaw(handle func(net.Conn, *bufio.Reader)) {
 	h.confirmConfiguration()
 	h.network.ServeConn("raw", func(conn net.Conn) { handle(conn, bufio.NewReader(conn)) })
-	h.dispatcher.ApplyListing(h.bootClock(), []registrar.Endpoint{{ID: "raw", Service: "api", Address: "raw:80", Slots: 6}})
+	h.dispatcher.ApplyListing(h.bootClock(), 0, []registrar.Endpoint{{ID: "raw", Service: "api", Address: "raw:80", Slots: 6}})
 }
 
 // readRawRequest reads a request with its body; nil if the connection has ended.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -12,6 +12,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
@@ -51,9 +52,9 @@
 	// ApplyConfiguration applies a configuration that was read by a call sent at the
 	// given time.
 	ApplyConfiguration(sentAt time.Duration, configuration *matcher.Matcher, stored dispatcher.StoredConfiguration)
-	// ApplyListing applies a list of all endpoints, read by calls of which the first was sent
-	// at the given time.
-	ApplyListing(sentAt time.Duration, endpoints []registrar.Endpoint)
+	// ApplyListing applies a list of all endpoints, read in an epoch of the store by calls
+	// of which the first was sent at the given time.
+	ApplyListing(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint)
 }
 
 // DefaultReadPolicy returns a policy with which every instance applies a change
@@ -188,12 +189,17 @@
 // that cannot be decoded.
 func (w *Watcher) readEndpoints(ctx context.Context) error {
 	var endpoints []registrar.Endpoint
+	var epoch uint64
 	sentAt := w.control.SinceBoot()
 	for after, more := "", true; more; {
 		page, err := w.store.List(ctx, w.decoder.EndpointKind(), after, 0)
 		if err != nil {
 			return err
 		}
+		if after != "" && page.Epoch != epoch {
+			return errors.Errorf("the store's epoch changed from %d to %d between two pages", epoch, page.Epoch)
+		}
+		epoch = page.Epoch
 		for _, item := range page.Items {
 			endpoint, err := w.decoder.DecodeEndpoint(item)
 			if err != nil {
@@ -208,7 +214,7 @@
 			after = page.Items[len(page.Items)-1].Name
 		}
 	}
-	w.control.ApplyListing(sentAt, endpoints)
+	w.control.ApplyListing(sentAt, epoch, endpoints)
 
 	return nil
 }
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -7,6 +7,12 @@
 // is kept for Settings.ReregistrationWindow, and removed if it has not come back by
 // then. An entry that marks its endpoint as draining takes effect at any time.
 //
+// A registry may also come back from an older copy. Its entries are then those of some
+// time ago, until the endpoints have renewed them. For Settings.ReregistrationWindow,
+// what is known of an incarnation goes before the copy: missing entries are kept, a
+// draining incarnation stays so, and one that had been removed or replaced is not added
+// again.
+//
 // An endpoint that restarts keeps its ID; its incarnations differ in the
 // time at which they started. A Registrar is not safe for concurrent use.
 package registrar
@@ -50,13 +56,30 @@
 	missing          map[string]bool     // IDs of entries kept after an outage
 	lastReachable    time.Time           // time of the registry's last answer
 	keepMissingUntil time.Time           // end of the reregistration window
+	isRestored       bool                // the window follows a return from an older copy
+	heldBack         map[string]Endpoint // entries of the copy that are not used in the window, by ID
+	removed          []removedEntry      // oldest first
 	hasListing       bool
 	sortedEndpoints  []Endpoint // the entries by ID; replaced, never changed
 }
 
+// removedEntry is an incarnation that the registry no longer listed.
+type removedEntry struct {
+	id            string
+	startedUnixMs int64
+	removedAt     time.Time
+}
+
+const (
+	// maxRemovedEntries and removedEntryTTL limit the removed incarnations that are
+	// remembered. A copy is some seconds old.
+	maxRemovedEntries = 1024
+	removedEntryTTL   = time.Minute
+)
+
 // New returns a registrar without endpoints.
 func New(settings Settings) *Registrar {
-	return &Registrar{settings: settings, entries: map[string]Endpoint{}, missing: map[string]bool{}}
+	return &Registrar{settings: settings, entries: map[string]Endpoint{}, missing: map[string]bool{}, heldBack: map[string]Endpoint{}}
 }
 
 // Configure replaces the settings.
@@ -74,12 +97,28 @@
 	r.lastReachable = now
 }
 
+// RecordRestored records that the registry came back from an older copy. It begins a
+// reregistration window, whether or not the registry was silent.
+func (r *Registrar) RecordRestored(now time.Time) {
+	if !r.hasListing {
+		return
+	}
+	r.keepMissingUntil = now.Add(r.settings.ReregistrationWindow)
+	r.isRestored = true
+}
+
 // ApplyListing replaces the entries by a complete listing of the registry. Call
 // RecordReachable first.
 func (r *Registrar) ApplyListing(now time.Time, endpoints []Endpoint) {
 	listed := map[string]bool{}
+	clear(r.heldBack)
 	for _, endpoint := range endpoints {
 		listed[endpoint.ID] = true
+		if r.isRestored && now.Before(r.keepMissingUntil) && r.isOutdated(endpoint) {
+			r.heldBack[endpoint.ID] = endpoint
+
+			continue
+		}
 		r.setEntry(endpoint)
 	}
 	for id := range r.entries {
@@ -91,6 +130,28 @@
 	r.updateSortedEndpoints()
 }
 
+// isOutdated reports whether more is known of a listed incarnation than its entry says: it
+// was draining, had been removed or had been followed by a later one.
+func (r *Registrar) isOutdated(listed Endpoint) bool {
+	if known, ok := r.entries[listed.ID]; ok {
+		return known.StartedUnixMs > listed.StartedUnixMs || (known.StartedUnixMs == listed.StartedUnixMs && known.Draining && !listed.Draining)
+	}
+
+	return slices.ContainsFunc(r.removed, func(e removedEntry) bool {
+		return e.id == listed.ID && e.startedUnixMs >= listed.StartedUnixMs
+	})
+}
+
+// rememberRemoved remembers that the registry no longer lists an incarnation.
+func (r *Registrar) rememberRemoved(now time.Time, endpoint Endpoint) {
+	r.removed = append(r.removed, removedEntry{endpoint.ID, endpoint.StartedUnixMs, now})
+	expired := 0
+	for expired < len(r.removed) && (len(r.removed)-expired > maxRemovedEntries || now.Sub(r.removed[expired].removedAt) > removedEntryTTL) {
+		expired++
+	}
+	r.removed = r.removed[expired:]
+}
+
 func (r *Registrar) setEntry(endpoint Endpoint) {
 	r.entries[endpoint.ID] = endpoint
 	delete(r.missing, endpoint.ID)
@@ -104,20 +165,31 @@
 
 		return
 	}
+	r.rememberRemoved(now, r.entries[id])
 	delete(r.entries, id)
 	delete(r.missing, id)
 }
 
-// RemoveExpired removes missing entries once the reregistration window has ended, and
-// reports whether there were any.
+// RemoveExpired ends the reregistration window when it is over: it removes missing
+// entries and uses those of a copy that were held back. It reports whether there were
+// any.
 func (r *Registrar) RemoveExpired(now time.Time) bool {
-	if len(r.missing) == 0 || now.Before(r.keepMissingUntil) {
+	if now.Before(r.keepMissingUntil) {
+		return false
+	}
+	r.isRestored = false
+	if len(r.missing)+len(r.heldBack) == 0 {
 		return false
 	}
 	for id := range r.missing {
+		r.rememberRemoved(now, r.entries[id])
 		delete(r.entries, id)
 	}
 	clear(r.missing)
+	for _, endpoint := range r.heldBack {
+		r.setEntry(endpoint)
+	}
+	clear(r.heldBack)
 	r.updateSortedEndpoints()
 
 	return true
