--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"hash/fnv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -53,6 +54,7 @@
 	addAddresses func(addresses []string)
 	logger       hclog.Logger
 	done         chan struct{}
+	isListed     bool // whether the last listing contained this instance
 }
 
 // New returns an Announcer that passes the addresses of the listed peers to
@@ -71,19 +73,34 @@
 	return a.done
 }
 
-// Serve registers this instance once and then lists the others at intervals until ctx
-// ends.
+// Serve registers this instance and then lists the others at intervals until ctx ends. If
+// a listing lacks this instance, because the store came back from an older copy, it
+// registers again.
 func (a *Announcer) Serve(ctx context.Context) error {
 	defer close(a.done)
 	a.retryUntilSuccess(ctx, "register", a.register)
 	for ctx.Err() == nil {
 		a.retryUntilSuccess(ctx, "list", a.listInstances)
+		if !a.isListed && ctx.Err() == nil {
+			sleep(ctx, a.reregistrationDelay())
+			a.logger.Warn("The registration of this instance was lost and is written again.", "instance", a.settings.Name)
+			a.retryUntilSuccess(ctx, "register", a.register)
+		}
 		sleep(ctx, a.settings.ListInterval)
 	}
 
 	return ctx.Err()
 }
 
+// reregistrationDelay returns a part of the retry delay that differs between instances, so
+// that not all of them write at once.
+func (a *Announcer) reregistrationDelay() time.Duration {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(a.settings.Name))
+
+	return a.settings.RetryDelay * time.Duration(hash.Sum32()>>16) / (1 << 16)
+}
+
 // retryUntilSuccess repeats a call until it succeeds or ctx ends. It logs the first
 // failure only.
 func (a *Announcer) retryUntilSuccess(ctx context.Context, callName string, call func(context.Context) error) {
@@ -133,6 +150,7 @@
 // addAddresses. It skips entries that cannot be decoded.
 func (a *Announcer) listInstances(ctx context.Context) error {
 	var addresses []string
+	isListed := false
 	for after, more := "", true; more; {
 		page, err := a.store.List(ctx, a.settings.Kind, after, 0)
 		if err != nil {
@@ -145,7 +163,9 @@
 
 				continue
 			}
-			if item.Name != a.settings.Name {
+			if item.Name == a.settings.Name {
+				isListed = true
+			} else {
 				addresses = append(addresses, decoded.Address)
 			}
 		}
@@ -154,6 +174,7 @@
 			after = page.Items[len(page.Items)-1].Name
 		}
 	}
+	a.isListed = isListed
 	a.addAddresses(addresses)
 
 	return nil
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,55 +17,95 @@
 	"github.com/oleanderpick/oleanderpick/internal/storer"
 )
 
-// Instances without seeds find each other through the platform, even if the platform
-// is unavailable when the first one starts, and if one restarts at another address.
-func TestInstancesDiscoverEachOtherThroughPlatform(t *testing.T) {
+const instanceKind = "instances-of-ours"
+
+// harness is a stand-in for the platform with announcers on an in-memory network.
+type harness struct {
+	t        *testing.T
+	platform *keeper.Keeper
+	client   *http.Client
+
+	mu             sync.Mutex
+	foundAddresses map[string][]string // by name of the instance that found them
+}
+
+// runWithPlatform runs a test with a new harness in virtual time.
+func runWithPlatform(t *testing.T, test func(*harness)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		platform := keeper.New(keeper.Settings{})
 		network := piper.New()
-		network.Serve("store", platform.Handler())
-		client := network.Client()
-		var mu sync.Mutex
-		foundAddresses := map[string][]string{}
-		assertFound := func(name string, want ...string) {
-			mu.Lock()
-			defer mu.Unlock()
-			assert.DeepEqual(t, foundAddresses[name], want)
-		}
-		start := func(name, address string) (stop func()) {
-			ctx, cancel := context.WithCancel(context.Background())
-			settings := announcer.Settings{
-				Kind: "instances-of-ours", Name: name, Address: address,
-				RetryDelay: announcer.DefaultRetryDelay, ListInterval: announcer.DefaultListInterval,
-			}
-			a := announcer.New(settings, storer.New("http://store", client), func(addresses []string) {
-				mu.Lock()
-				defer mu.Unlock()
-				foundAddresses[name] = addresses
-			}, hclog.NewNullLogger())
-			go func() { _ = a.Serve(ctx) }()
+		h := &harness{t: t, platform: keeper.New(keeper.Settings{}), client: network.Client(), foundAddresses: map[string][]string{}}
+		network.Serve("store", h.platform.Handler())
+		test(h)
+		h.client.CloseIdleConnections()
+		network.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// start starts the announcer of an instance and returns a function that stops it.
+func (h *harness) start(name, address string) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	settings := announcer.Settings{
+		Kind: instanceKind, Name: name, Address: address,
+		RetryDelay: announcer.DefaultRetryDelay, ListInterval: announcer.DefaultListInterval,
+	}
+	a := announcer.New(settings, storer.New("http://store", h.client), func(addresses []string) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.foundAddresses[name] = addresses
+	}, hclog.NewNullLogger())
+	go func() { _ = a.Serve(ctx) }()
 
-			return func() {
-				cancel()
-				<-a.Done()
-			}
-		}
-		platform.SetFaults(keeper.Faults{Outage: true})
-		stopFirst := start("a", "a:1")
+	return func() {
+		cancel()
+		<-a.Done()
+	}
+}
+
+// assertFound checks the addresses that an instance found last.
+func (h *harness) assertFound(name string, want ...string) {
+	h.t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	assert.DeepEqual(h.t, h.foundAddresses[name], want)
+}
+
+// Instances without seeds find each other through the platform, even if the platform
+// is unavailable when the first one starts, and if one restarts at another address.
+func TestInstancesDiscoverEachOtherThroughPlatform(t *testing.T) {
+	runWithPlatform(t, func(h *harness) {
+		h.platform.SetFaults(keeper.Faults{Outage: true})
+		stopFirst := h.start("a", "a:1")
 		time.Sleep(5 * time.Second)
-		platform.SetFaults(keeper.Faults{})
-		stopSecond := start("b", "b:1")
+		h.platform.SetFaults(keeper.Faults{})
+		stopSecond := h.start("b", "b:1")
 		time.Sleep(time.Minute)
-		assertFound("a", "b:1")
-		assertFound("b", "a:1")
+		h.assertFound("a", "b:1")
+		h.assertFound("b", "a:1")
 		stopSecond()
-		stopSecond = start("b", "b:2")
+		stopSecond = h.start("b", "b:2")
 		time.Sleep(time.Minute)
-		assertFound("a", "b:2")
+		h.assertFound("a", "b:2")
 		stopFirst()
 		stopSecond()
-		client.CloseIdleConnections()
-		network.Close()
+	})
+}
+
+// Guards against instances that start later not finding the others, because the store came
+// back from a copy without their entries.
+func TestLostRegistrationIsWrittenAgain(t *testing.T) {
+	runWithPlatform(t, func(h *harness) {
+		stop := h.start("a", "a:1")
+		time.Sleep(time.Second)
+		assert.NilError(t, h.platform.Delete(instanceKind, "a"))
+		time.Sleep(time.Minute)
+		entry, found := h.platform.Object(instanceKind, "a")
+		assert.Assert(t, found)
+		assert.Equal(t, string(entry.Spec), `{"address":"a:1"}`)
+		writes := h.platform.Audit()["PUT "+instanceKind]
 		time.Sleep(time.Minute)
+		assert.Equal(t, h.platform.Audit()["PUT "+instanceKind], writes, "it is written once")
+		stop()
 	})
 }
