--- a/pkg/registrar/restored_test.go
+++ b/pkg/registrar/restored_test.go
@@ -55,7 +55,7 @@
 		removed := map[string]int64{} // latest incarnation that a listing lacked, by ID
 		list := func() {
 			before := r.Endpoints()
-			var listed []registrar.Endpoint
+			listed := make([]registrar.Endpoint, 0, len(store))
 			for _, e := range store {
 				listed = append(listed, e)
 			}
