--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -194,7 +194,7 @@
 func (g *Gossiper) describeFleet(now time.Time) dispatcher.Fleet {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	fleet := g.fleet()
+	fleet := g.fleet(now)
 	described := dispatcher.Fleet{InstanceCount: 1, IsDivided: fleet.IsDivided()}
 	for _, p := range g.peers {
 		if now.Sub(p.lastMessageAt) < removalTimeout || (p.name == "" && now.Sub(p.addedAt) < livenessTimeout) {
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -15,11 +15,12 @@
 // knows fewer, and loads if includeLoads is set: this instance's, or those of its data
 // centre if the recipient does not share its engines.
 func (g *Gossiper) buildMessage(recipient string, recipientAddressCount int, includeLoads bool) *gossipwire.Message {
+	now := time.Now()
 	addresses := g.Addresses()
 	g.mu.Lock()
 	leaving := g.leaving
 	p := g.peers[recipient]
-	sharesEngines := g.fleet().SharesEngines(p != nil && g.isLocal(p))
+	sharesEngines := g.fleet(now).SharesEngines(p != nil && g.isLocal(p))
 	g.mu.Unlock()
 	state := g.dispatcher.BuildMessage(!sharesEngines)
 	message := &gossipwire.Message{
@@ -44,7 +45,6 @@
 	if includeLoads {
 		addLoads(message, state)
 	}
-	now := time.Now()
 	for _, entry := range state.Suspects {
 		message.Suspects = append(message.Suspects, encodeSuspect(now, entry))
 	}
--- a/internal/gossiper/selection.go
+++ b/internal/gossiper/selection.go
@@ -35,7 +35,7 @@
 
 		return strings.Compare(a.address, b.address)
 	})
-	fleet := g.fleet()
+	fleet := g.fleet(now)
 	if g.roundCount > startupRounds {
 		due = g.limitToFanout(due, fleet)
 	}
@@ -67,10 +67,15 @@
 	return selected
 }
 
-// fleet returns the numbers of peers. The caller holds the lock.
-func (g *Gossiper) fleet() spreader.Fleet {
-	fleet := spreader.Fleet{Peers: len(g.peers)}
+// fleet returns the numbers of peers that sent a message within livenessTimeout, or that
+// were added within it and have not sent one yet. The caller holds the lock.
+func (g *Gossiper) fleet(now time.Time) spreader.Fleet {
+	var fleet spreader.Fleet
 	for _, p := range g.peers {
+		if now.Sub(p.lastMessageAt) >= livenessTimeout && (p.name != "" || now.Sub(p.addedAt) >= livenessTimeout) {
+			continue
+		}
+		fleet.Peers++
 		if g.isLocal(p) {
 			fleet.LocalPeers++
 		}
@@ -84,7 +89,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	fleet := g.fleet()
+	fleet := g.fleet(now)
 	var addresses []string
 	for address, p := range g.peers {
 		if now.Sub(p.lastMessageAt) < livenessTimeout && fleet.SharesEngines(g.isLocal(p)) {
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -8,9 +8,6 @@
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 )
 
-// EngineTierCount is the number of tiers that engines distinguish.
-const EngineTierCount = placer.TierCount
-
 // RequestMetadata is what a caller's headers state about a request.
 type RequestMetadata struct {
 	// ID is the caller's request ID, which every answer repeats.
@@ -37,7 +34,7 @@
 	// Workspace is the caller's workspace; empty if requests need no API key.
 	Workspace string
 	// Tier is the request's priority at an engine, from 0, the highest, to
-	// EngineTierCount-1; negative if none is sent.
+	// placer.TierCount-1; negative if none is sent.
 	Tier int
 	// LastEventID is the ID of the last event that was forwarded to the caller; empty if
 	// none.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -207,7 +207,7 @@
 // of the request.
 func (r *relayedRequest) authenticate() *answerer.Error {
 	if !r.matcher.RequiresKey() {
-		r.forwarding.Tier = r.matcher.EngineTier(r.route, matcher.Workspace{}, EngineTierCount)
+		r.forwarding.Tier = r.matcher.EngineTier(r.route, matcher.Workspace{}, placer.TierCount)
 
 		return nil
 	}
@@ -220,7 +220,7 @@
 		return r.staleConfigurationError()
 	}
 	r.forwarding.Workspace = workspace.Name
-	r.forwarding.Tier = r.matcher.EngineTier(r.route, workspace, EngineTierCount)
+	r.forwarding.Tier = r.matcher.EngineTier(r.route, workspace, placer.TierCount)
 
 	return nil
 }
