--- a/pkg/placer/data_centre_test.go
+++ b/pkg/placer/data_centre_test.go
@@ -111,3 +111,35 @@
 	}
 	t.Fatal("all attempts stayed in a data centre whose engines are unreachable")
 }
+
+// Guards against prefix groups staying with the engines of a data centre that is lost.
+func TestPrefixGroupsLeaveLostDataCentre(t *testing.T) {
+	p := newPlacer("a", engines(12))
+	p.SetFleetDivided(true)
+	id := uint64(0)
+	for _, e := range engines(12) {
+		if e.DataCentre != "dc1" {
+			continue
+		}
+		for range 3 { // An unreachable engine is ejected.
+			id++
+			p.RecordSent(start, id, placer.Choice{EndpointID: e.ID}, shortRequest())
+			p.RecordResult(start, id, placer.Unreachable)
+		}
+	}
+	for group := uint64(1); group <= 30; group++ {
+		choice := pick(t, p, start, longRequest(group, group))
+		assert.Assert(t, engines(12)[indexOf(choice.EndpointID)].DataCentre != "dc1", "group %d goes to %s", group, choice.EndpointID)
+	}
+}
+
+// indexOf returns the index of an engine in the result of engines.
+func indexOf(id string) (index int) {
+	for i, e := range engines(30) {
+		if e.ID == id {
+			index = i
+		}
+	}
+
+	return index
+}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -165,6 +165,7 @@
 	for _, dataCentre := range s.service.dataCentres {
 		if dataCentre != s.dataCentre {
 			remote := s.restrict(func(e *endpoint) bool { return e.DataCentre == dataCentre })
+			remote.candidates = remote.accepting()
 			remoteGroup = append(remoteGroup, remote.longGroup(s.service.remoteSplit(s.now, dataCentre, len(remote.eligible)))...)
 		}
 	}
