--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -58,8 +58,12 @@
 	for first := true; ; first = false {
 		placement, ok := r.relayer.dispatcher.Place(r.placementRequest, first)
 		if !ok {
-			r.relayer.logger.Info("No endpoint may take the request.", "request", r.metadata.ID, "service", r.placementRequest.Service)
-			r.finishUnanswered(ctx, answerer.KindNoEndpoint)
+			r.relayer.logger.Info("No endpoint may take the request.", "request", r.metadata.ID, "service", r.placementRequest.Service, "may have run", r.mayHaveRun)
+			kind := answerer.KindNoEndpoint
+			if r.mayHaveRun {
+				kind = answerer.KindUncertain
+			}
+			r.finishUnanswered(ctx, kind)
 
 			return
 		}
--- a/internal/relayer/attempt_test.go
+++ b/internal/relayer/attempt_test.go
@@ -248,3 +248,18 @@
 		time.Sleep(time.Hour)
 	})
 }
+
+// Guards against a caller being told that its request was not run, although an endpoint may
+// have run it, because the service has no endpoint left for another attempt.
+func TestRequestThatMayHaveRunIsNotCalledNotRunWithoutEndpoints(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		h.serveEndpoints(func(w http.ResponseWriter, request *http.Request) {
+			h.dispatcher.ApplyListing(h.bootClock(), 0, nil)
+			closeWithoutAnswer(w, request)
+		})
+		response, body, err := h.send(h.newRequest(http.MethodGet, "/often/a", ""))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusBadGateway, body)
+		assert.Equal(t, h.arrivalCount(), 1)
+	})
+}
