--- a/internal/gossiper/selection.go
+++ b/internal/gossiper/selection.go
@@ -37,7 +37,7 @@
 	})
 	fleet := g.fleet(now)
 	if g.roundCount > startupRounds {
-		due = g.limitToFanout(due, fleet)
+		due = spreader.SelectPeers(fleet, g.settings.Fanout, due, g.isLocal)
 	}
 	for _, p := range due {
 		p.exchanging, p.lastAttemptAt = true, now
@@ -48,25 +48,6 @@
 	return due
 }
 
-// limitToFanout returns the first of the due peers, as many as are contacted in a round.
-// In a divided fleet, a part of them is local, if so many are due.
-func (g *Gossiper) limitToFanout(due []*peer, fleet spreader.Fleet) []*peer {
-	peerCount, localCount := fleet.PeersPerRound(g.settings.Fanout)
-	selected := make([]*peer, 0, peerCount)
-	for _, p := range due {
-		if len(selected) < localCount && g.isLocal(p) {
-			selected = append(selected, p)
-		}
-	}
-	for _, p := range due {
-		if len(selected) < peerCount && !slices.Contains(selected, p) {
-			selected = append(selected, p)
-		}
-	}
-
-	return selected
-}
-
 // fleet returns the numbers of peers that sent a message within livenessTimeout, or that
 // were added within it and have not sent one yet. The caller holds the lock.
 func (g *Gossiper) fleet(now time.Time) spreader.Fleet {
--- a/internal/lab/simulator/fleet.go
+++ b/internal/lab/simulator/fleet.go
@@ -283,20 +283,8 @@
 	slices.SortStableFunc(peers, func(a, b int) int {
 		return cmp.Compare(f.contacts[instance][a].lastRound, f.contacts[instance][b].lastRound)
 	})
-	count, localCount := fleet.PeersPerRound(gossipFanout)
-	var selected []int
-	for _, peer := range peers {
-		if len(selected) < localCount && f.isLocal(peer, instance) {
-			selected = append(selected, peer)
-		}
-	}
-	for _, peer := range peers {
-		if len(selected) < count && !slices.Contains(selected, peer) {
-			selected = append(selected, peer)
-		}
-	}
 
-	return selected
+	return spreader.SelectPeers(fleet, gossipFanout, peers, func(peer int) bool { return f.isLocal(peer, instance) })
 }
 
 // sendLoads sends a peer an instance's loads and demands, or those of its data centre if
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -53,6 +53,23 @@
 	return peers, localPeers
 }
 
+// SelectPeers returns the peers to contact in a round, of those that are due, which are
+// ordered by urgency: as many as PeersPerRound says, if so many are due.
+func SelectPeers[P any](fleet Fleet, fanout Fanout, due []P, isLocal func(P) bool) []P {
+	count, localCount := fleet.PeersPerRound(fanout)
+	selected := make([]P, 0, count)
+	var others []P
+	for _, peer := range due {
+		if len(selected) < localCount && isLocal(peer) {
+			selected = append(selected, peer)
+		} else {
+			others = append(others, peer)
+		}
+	}
+
+	return append(selected, others[:min(count-len(selected), len(others))]...)
+}
+
 // RoundsBetweenExchanges returns the usual number of rounds between two exchanges with the
 // same peer, if the peers contact each other equally often; at least 1.
 func (f Fleet) RoundsBetweenExchanges(fanout Fanout, isLocal bool) int {
--- a/pkg/spreader/spreader_test.go
+++ b/pkg/spreader/spreader_test.go
@@ -30,6 +30,20 @@
 	})
 }
 
+// Guards against a round that leaves out local peers, contacts one twice or too many.
+func TestRoundContactsMostUrgentPeers(t *testing.T) {
+	fanout := spreader.Fanout{Min: 2, Max: 4}
+	isLocal := func(peer int) bool { return peer >= 40 } // The local peers are the least urgent ones.
+	due := make([]int, 60)
+	for i := range due {
+		due[i] = i
+	}
+	assert.DeepEqual(t, spreader.SelectPeers(spreader.Fleet{Peers: 60, LocalPeers: 20}, fanout, due, isLocal), []int{40, 41, 0, 1})
+	assert.DeepEqual(t, spreader.SelectPeers(spreader.Fleet{Peers: 60, LocalPeers: 20}, fanout, due[:41], isLocal), []int{40, 0, 1, 2})
+	assert.DeepEqual(t, spreader.SelectPeers(spreader.Fleet{Peers: 60, LocalPeers: 20}, fanout, due[:1], isLocal), []int{0})
+	assert.DeepEqual(t, spreader.SelectPeers(spreader.Fleet{Peers: 6}, fanout, due[:6], isLocal), []int{0, 1})
+}
+
 // Guards against changes of the size from which a fleet is divided.
 func TestFleetOfThirteenIsUndivided(t *testing.T) {
 	assert.Assert(t, !spreader.Fleet{Peers: 12}.IsDivided())
