--- a/pkg/placer/doc.go
+++ b/pkg/placer/doc.go
@@ -12,6 +12,10 @@
 // plain services go to the endpoint with the fewest requests for its slots, with a
 // preference for this instance's data centre.
 //
+// In a fleet that is divided by data centre, an instance learns the loads at engines
+// elsewhere late. Short prompts then stay in the own data centre while its engines are
+// in time, and prefix groups are spread over the engines of all data centres.
+//
 // The inputs are the registered endpoints, this instance's own requests (exact
 // counts), the loads that peers report, and the results of earlier requests. Equal
 // inputs give equal choices: endpoints are ranked by hashes of their names, so
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -15,7 +15,7 @@
 // Fleet is what an instance knows of its peers. The zero value is an instance without
 // peers.
 type Fleet struct {
-	// Peers is the number of known peers. LocalPeers is the number of those in the
+	// Peers is the number of live peers. LocalPeers is the number of those in the
 	// instance's own data centre.
 	Peers, LocalPeers int
 }
