--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -84,7 +84,8 @@
 func (r *relayedRequest) logPostponed(placement dispatcher.Placement) {
 	r.relayer.logger.Info("Postponed.", "request", r.metadata.ID, "route", r.route.Name, "service", r.placementRequest.Service,
 		"best endpoint", placement.EndpointID, "expected ms", placement.ExpectedTimeToFirstToken.Milliseconds(), "target ms", r.placementRequest.TargetTimeToFirstToken.Milliseconds(),
-		"prompt", r.placementRequest.PromptTokens, "fresh", placement.UncachedTokens, "border", placement.Split, "engines", placement.EngineCount)
+		"prompt", r.placementRequest.PromptTokens, "fresh", placement.UncachedTokens, "tier", r.forwarding.Tier, "known running", placement.KnownLoad.RunningRequests,
+		"known pending", placement.KnownLoad.PendingTokens, "border", placement.Split, "engines", placement.EngineCount)
 }
 
 // makeAttempt makes one attempt and reports its result to the dispatcher, also if the
