relayer, platform: Log the limit that an endpoint states

Change: the limit is read from each answer; Answered. and Attempt failed. have it as 'endpoint limit'. Nothing decides by it yet.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -27,6 +27,8 @@
 	response   *http.Response
 	// endpointLoad is the load that the endpoint stated in its response; nil if none.
 	endpointLoad *EndpointLoad
+	// rateLimit is the limit that the endpoint stated in its response; nil if none.
+	rateLimit *RateLimit
 	// answered is true once the caller has the final answer.
 	answered bool
 	// mayHaveRun is true if the endpoint may have run the request.
@@ -141,7 +143,7 @@
 		reason = r.relayer.dispatcher.TakeRepeat(r.placementRequest.Service, history, wasSent)
 	}
 	r.relayer.logger.Info("Attempt failed.", "request", r.metadata.ID, "route", r.route.Name, "endpoint", a.placement.EndpointID,
-		"result", a.result.String(), "endpoint load", a.endpointLoad.String(), "known running", a.placement.KnownLoad.RunningRequests, "may have run", a.mayHaveRun, "begun", r.answerStarted, "runs", r.possibleRuns, "refusals", r.refusals, "unsent", r.unsentAttempts,
+		"result", a.result.String(), "endpoint load", a.endpointLoad.String(), "endpoint limit", a.rateLimit.String(), "known running", a.placement.KnownLoad.RunningRequests, "may have run", a.mayHaveRun, "begun", r.answerStarted, "runs", r.possibleRuns, "refusals", r.refusals, "unsent", r.unsentAttempts,
 		"cause", causeText(a.failureCause), "decision", decisionName(reason))
 	r.relayer.meter.CountRetryDecision(decisionName(reason))
 	if reason == retrier.ReasonNone {
@@ -309,7 +311,7 @@
 // forwarded or discarded, or whether the attempt has failed.
 func (r *relayedRequest) handleResponse(ctx context.Context, a *attempt) {
 	metadata := r.relayer.codec.ParseResponse(a.response.StatusCode, a.response.Header)
-	a.endpointLoad = metadata.Load
+	a.endpointLoad, a.rateLimit = metadata.Load, metadata.RateLimit
 	switch {
 	case metadata.Misdirected:
 		a.result, a.failureCause = placer.Misdirected, errors.New("another endpoint has the address")
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
@@ -54,6 +55,23 @@
 	Misdirected bool
 	// Load is the endpoint's own load when it began the answer; nil if not stated.
 	Load *EndpointLoad
+	// RateLimit is the limit that the endpoint stated for all instances together; nil if
+	// it stated none. HasInvalidRateLimit is true if it stated one that cannot be read.
+	RateLimit           *RateLimit
+	HasInvalidRateLimit bool
+}
+
+// RateLimit is the number of requests a second that an endpoint takes from all instances
+// together.
+type RateLimit float64
+
+// String returns the limit for logs; "none" if l is nil.
+func (l *RateLimit) String() string {
+	if l == nil {
+		return "none"
+	}
+
+	return strconv.FormatFloat(float64(*l), 'g', -1, 64)
 }
 
 // EndpointLoad is what an endpoint says of its load: the requests that it runs, those
