throttler, dispatcher, gossiper: Keep to the limits that endpoints state

Cause: nothing read the limit, and nothing was shared by which seven instances could keep to it together. Class of fault: a limit for all instances that each applies by itself, or not at all. Change: pkg/throttler. Each limited endpoint has a home among the live instances, which lends permits, one for each request, at the rate of the limit; higher tiers first. First attempts, repeats and resumed streams all pass Dispatcher.Place and so need one. Limits spread with their age in gossip replies; a limit ends with an answer without one. An endpoint without a permit counts as absent: the request goes elsewhere, or is refused at once with endpoints-limited (503, not run). Why it works: a permit is spent once, whichever instance asks; an instance that has become a home lends nothing for two seconds, in which the others notice.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
+	"github.com/oleanderpick/oleanderpick/pkg/throttler"
 )
 
 // Settings are a dispatcher's identity and limits.
@@ -74,12 +75,16 @@
 	instanceCount  atomic.Int64
 	sharedLease    atomic.Pointer[freshener.Lease] // a copy of lease for other goroutines
 
-	// Only the control goroutine uses the following fields, except hasSuspects.
+	// Only the control goroutine uses the following fields, except the atomic ones and
+	// permitSource.
 	lease               *freshener.Lease
 	registry            *registrar.Registrar
 	placer              *placer.Placer
 	repeatLimiter       *retrier.RepeatLimiter
 	quarantine          *quarantiner.Quarantiner
+	throttler           *throttler.Throttler
+	hasLimits           atomic.Bool // whether throttler has records
+	permitSource        PermitSource
 	brokenAnswers       map[string][]brokenAnswer // by endpoint ID
 	hasSuspects         atomic.Bool               // whether quarantine has entries
 	lastAttemptID       uint64
@@ -108,6 +113,7 @@
 		placer:        placer.New(placer.Settings{InstanceName: settings.Name, DataCentre: settings.DataCentre}),
 		repeatLimiter: retrier.NewRepeatLimiter(settings.RepeatLimits),
 		quarantine:    quarantiner.New(quarantiner.DefaultSettings()),
+		throttler:     throttler.New(clock.Now(), settings.Name),
 		brokenAnswers: map[string][]brokenAnswer{},
 		onLoadChange:  func(string, placer.Load) {},
 	}
--- a/internal/dispatcher/load_change_test.go
+++ b/internal/dispatcher/load_change_test.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { _ = d.Serve(ctx) }()
 	d.ApplyListing(time.Hour, 0, []registrar.Endpoint{{ID: "e", Service: "llm", Address: "e:80", DataCentre: "dc", Slots: 16}})
-	placement, ok := d.Place(placer.Request{Service: "llm", PromptTokens: 100, Tier: 2}, true)
+	placement, ok := d.Place(t.Context(), placer.Request{Service: "llm", PromptTokens: 100, Tier: 2}, true)
 	assert.Assert(t, ok)
 	d.RecordFirstEvent(placement)
 	d.RecordResult(placement, placer.Finished)
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -125,6 +125,8 @@
 // updatePlacer replaces the placer's endpoints by the registered ones.
 func (d *Dispatcher) updatePlacer() {
 	d.placer.Configure(d.registry.Endpoints())
+	d.throttler.Retain(d.placer.HasEndpoint)
+	d.hasLimits.Store(d.throttler.HasRecords())
 }
 
 // DataAges returns the times since the reads that last confirmed the configuration and the
@@ -169,6 +171,9 @@
 	// IsDivided reports whether instances share their loads only within their data
 	// centres.
 	IsDivided bool
+	// Members are the sorted names of the live instances that are not leaving. The homes
+	// of limited endpoints are chosen from them.
+	Members []string
 }
 
 // SetFleet sets what is known of all instances.
@@ -177,6 +182,9 @@
 	d.runAndWait(func() {
 		d.repeatLimiter.SetInstanceCount(fleet.InstanceCount)
 		d.rank = fleet.Rank
+		if len(fleet.Members) > 0 {
+			d.throttler.SetMembers(d.clock.Now(), fleet.Members)
+		}
 		if d.placer.SetFleetDivided(fleet.IsDivided) {
 			d.logger.Info("Scope of placement changed.", "own data centre first", fleet.IsDivided, "instances", fleet.InstanceCount)
 		}
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -1,10 +1,12 @@
 package dispatcher
 
 import (
+	"context"
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
+	"github.com/oleanderpick/oleanderpick/pkg/throttler"
 )
 
 // Placement is the endpoint chosen for one attempt of a request.
@@ -12,37 +14,74 @@
 	placer.Choice
 
 	// RetryAfter is the time after which the caller should send the request again, because
-	// it is postponed; zero if the request may be sent to the endpoint now.
+	// it is postponed or all endpoints have reached their limits; zero if the request may be
+	// sent to the endpoint now.
 	RetryAfter time.Duration
 
 	attemptID uint64
 }
 
 // Place chooses an endpoint for a request and counts the request there, unless it is
-// postponed. It returns false if no endpoint may get the request. isFirstAttempt is
-// false for repeats, which are limited by the number of first attempts.
-func (d *Dispatcher) Place(request placer.Request, isFirstAttempt bool) (placement Placement, ok bool) {
+// postponed. If the endpoint stated a limit, Place first gets a permit, for which it may
+// have to wait for another instance. It returns false if no endpoint may get the request;
+// RetryAfter is then set if that is because of limits. isFirstAttempt is false for repeats,
+// which are limited by the number of first attempts.
+func (d *Dispatcher) Place(ctx context.Context, request placer.Request, isFirstAttempt bool) (placement Placement, ok bool) {
+	var need *permitNeed
 	d.runAndWait(func() {
-		now := d.clock.Now()
 		if isFirstAttempt {
-			d.repeatLimiter.RecordFirstAttempt(now, request.Service)
+			d.repeatLimiter.RecordFirstAttempt(d.clock.Now(), request.Service)
 		}
+		placement, need, ok = d.tryToPlace(request, true)
+	})
+	for asks := 1; need != nil; asks++ {
+		asked := need
+		reply, err := d.askHome(ctx, asked)
+		placement, need, ok = Placement{}, nil, false
+		d.runAndWait(func() {
+			d.recordReply(asked, reply, err)
+			placement, need, ok = d.tryToPlace(request, asks < maxPermitAsks)
+		})
+	}
+
+	return placement, ok
+}
+
+// tryToPlace chooses an endpoint and counts the request there. If a permit is needed from
+// another instance, it returns that need instead. If mayAsk is false, it chooses only
+// endpoints that need none.
+func (d *Dispatcher) tryToPlace(request placer.Request, mayAsk bool) (placement Placement, need *permitNeed, ok bool) {
+	now := d.clock.Now()
+	for {
+		request.Blocked = d.throttler.Blocked(now, request.Tier, mayAsk)
 		placement.Choice, ok = d.placer.Pick(now, request)
 		if !ok {
-			return
+			if until := d.placer.BlockedUntil(request); !until.IsZero() {
+				placement.RetryAfter = until.Sub(now)
+			}
+
+			return placement, nil, false
 		}
 		if retryAfter, postponed := d.placer.ShouldPostpone(request, placement.Choice); postponed {
 			placement.RetryAfter = retryAfter
 
-			return
+			return placement, nil, true
 		}
-		d.lastAttemptID++
-		placement.attemptID = d.lastAttemptID
-		d.placer.RecordSent(now, placement.attemptID, placement.Choice, request)
-		d.reportLoadChange(placement)
-	})
+		switch action, home := d.throttler.Take(now, placement.EndpointID, request.Tier); action {
+		case throttler.Ask:
+			statement, _ := d.throttler.Statement(placement.EndpointID)
+
+			return placement, &permitNeed{home: home, ask: PermitAsk{Statement: statement, Tier: request.Tier}}, false
+		case throttler.Send:
+			d.lastAttemptID++
+			placement.attemptID = d.lastAttemptID
+			d.placer.RecordSent(now, placement.attemptID, placement.Choice, request)
+			d.reportLoadChange(placement)
 
-	return placement, ok
+			return placement, nil, true
+		case throttler.Avoid: // The endpoint is blocked now, so the next choice is another one.
+		}
+	}
 }
 
 // RecordFirstEvent records that the first event of an attempt's answer came.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -189,13 +190,16 @@
 
 // describeFleet returns the number of instances, including this one, the number of
 // those that come before it by name, are not leaving and sent a message within
-// their rankTimeout, and whether the fleet is divided. Addresses without a name count as
-// instances until livenessTimeout after they were added.
+// their rankTimeout, whether the fleet is divided, and its members. Addresses without a
+// name count as instances until livenessTimeout after they were added.
 func (g *Gossiper) describeFleet(now time.Time) dispatcher.Fleet {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	fleet := g.fleet(now)
 	described := dispatcher.Fleet{InstanceCount: 1, IsDivided: fleet.IsDivided()}
+	if !g.leaving {
+		described.Members = append(described.Members, g.settings.Name)
+	}
 	for _, p := range g.peers {
 		if now.Sub(p.lastMessageAt) < removalTimeout || (p.name == "" && now.Sub(p.addedAt) < livenessTimeout) {
 			described.InstanceCount++
@@ -203,17 +207,31 @@
 		if p.name != "" && p.name < g.settings.Name && !p.leaving && now.Sub(p.lastMessageAt) < g.rankTimeout(fleet, p) {
 			described.Rank++
 		}
+		if p.name != "" && !p.leaving && now.Sub(p.lastMessageAt) < g.memberTimeout(fleet, p) {
+			described.Members = append(described.Members, p.name)
+		}
 	}
+	slices.Sort(described.Members)
+	described.Members = slices.Compact(described.Members)
 
 	return described
 }
 
+// memberTimeout returns the time since a peer's last message within which the peer counts
+// as a member: some exchanges in a fleet of this size, however long these take.
+func (g *Gossiper) memberTimeout(fleet spreader.Fleet, p *peer) time.Duration {
+	return max(minRankTimeout, maxMissedExchanges*g.exchangeInterval(fleet, p))
+}
+
+// exchangeInterval returns the usual time between two exchanges with a peer.
+func (g *Gossiper) exchangeInterval(fleet spreader.Fleet, p *peer) time.Duration {
+	return time.Duration(fleet.RoundsBetweenExchanges(g.settings.Fanout, g.isLocal(p))) * g.settings.RoundInterval
+}
+
 // rankTimeout returns the time since a peer's last message within which the peer counts in
 // the ranks of others: some exchanges in a fleet of this size.
 func (g *Gossiper) rankTimeout(fleet spreader.Fleet, p *peer) time.Duration {
-	interval := time.Duration(fleet.RoundsBetweenExchanges(g.settings.Fanout, g.isLocal(p))) * g.settings.RoundInterval
-
-	return min(livenessTimeout, max(minRankTimeout, maxMissedExchanges*interval))
+	return min(livenessTimeout, g.memberTimeout(fleet, p))
 }
 
 // exchangeWith sends a message to a peer and processes the answer. It then fetches
@@ -221,7 +239,7 @@
 func (g *Gossiper) exchangeWith(ctx context.Context, p *peer) {
 	ctx, cancel := context.WithTimeout(ctx, g.settings.ExchangeTimeout)
 	defer cancel()
-	sentAt := g.dispatcher.SinceBoot()
+	sentAt, sentAtTime := g.dispatcher.SinceBoot(), time.Now()
 	reply, err := gossipwire.NewGossipProtobufClient("http://"+p.address, g.client).Exchange(ctx, g.buildMessage(p.address, 0, p.sendLoads))
 	g.mu.Lock()
 	p.exchanging = false
@@ -234,6 +252,7 @@
 	}
 	g.meter.Add("gossip.told", 1)
 	if g.receiveMessage(reply) {
+		g.dispatcher.ReceiveLimits(decodeLimits(sentAtTime, reply.GetLimits()))
 		g.fetchFromPeer(ctx, p.address, g.dispatcher.ReceiveVersions(sentAt, decodeMessage(reply).Versions))
 	}
 }
@@ -285,6 +304,8 @@
 // loads if the peer's does.
 func (s *gossipServer) Exchange(_ context.Context, message *gossipwire.Message) (*gossipwire.Message, error) {
 	s.gossiper.receiveMessage(message)
+	reply := s.gossiper.buildMessage(message.GetAddress(), int(message.GetKnown()), !message.GetBrief())
+	reply.Limits = encodeLimits(time.Now(), s.gossiper.dispatcher.Limits())
 
-	return s.gossiper.buildMessage(message.GetAddress(), int(message.GetKnown()), !message.GetBrief()), nil
+	return reply, nil
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -121,7 +121,7 @@
 			} else {
 				request.AvoidEndpoints = []string{"a"}
 			}
-			placement, ok := instances[1].dispatcher.Place(request, true)
+			placement, ok := instances[1].dispatcher.Place(t.Context(), request, true)
 
 			return ok && placement.EndpointID == id
 		}
@@ -258,7 +258,7 @@
 			i.dispatcher.ApplyListing(sinceBoot(), 0, endpoints)
 		}
 		request := placer.Request{Service: "s"}
-		firstPlacement, _ := instances[7].dispatcher.Place(request, true)
+		firstPlacement, _ := instances[7].dispatcher.Place(t.Context(), request, true)
 		for range 20 { // All on the endpoint of the first placement.
 			repeated := request
 			for _, e := range endpoints {
@@ -266,12 +266,12 @@
 					repeated.AvoidEndpoints = append(repeated.AvoidEndpoints, e.ID)
 				}
 			}
-			instances[7].dispatcher.Place(repeated, true)
+			instances[7].dispatcher.Place(t.Context(), repeated, true)
 		}
 		time.Sleep(5 * time.Second)
 		informedCount := 0
 		for _, i := range instances {
-			if placement, ok := i.dispatcher.Place(request, true); ok && placement.EndpointID != firstPlacement.EndpointID {
+			if placement, ok := i.dispatcher.Place(t.Context(), request, true); ok && placement.EndpointID != firstPlacement.EndpointID {
 				informedCount++
 			}
 		}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -17,6 +17,7 @@
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
+	"github.com/oleanderpick/oleanderpick/pkg/throttler"
 )
 
 // attempt is one sending of a request to an endpoint.
@@ -58,14 +59,9 @@
 // relay sends the request to one endpoint after another until it has its final answer.
 func (r *relayedRequest) relay(ctx context.Context) {
 	for first := true; ; first = false {
-		placement, ok := r.relayer.dispatcher.Place(r.placementRequest, first)
+		placement, ok := r.relayer.dispatcher.Place(ctx, r.placementRequest, first)
 		if !ok {
-			r.relayer.logger.Info("No endpoint may take the request.", "request", r.metadata.ID, "service", r.placementRequest.Service, "may have run", r.mayHaveRun)
-			kind := answerer.KindNoEndpoint
-			if r.mayHaveRun {
-				kind = answerer.KindUncertain
-			}
-			r.finishUnanswered(ctx, kind)
+			r.finishUnplaced(ctx, placement.RetryAfter)
 
 			return
 		}
@@ -82,6 +78,22 @@
 	}
 }
 
+// finishUnplaced ends a request for which there is no endpoint. If that is because the
+// endpoints have reached their limits, retryAfter is the time until one may get a request
+// again.
+func (r *relayedRequest) finishUnplaced(ctx context.Context, retryAfter time.Duration) {
+	r.relayer.logger.Info("No endpoint may take the request.", "request", r.metadata.ID, "service", r.placementRequest.Service, "may have run", r.mayHaveRun,
+		"tier", r.placementRequest.Tier, "limited for ms", retryAfter.Milliseconds())
+	kind := answerer.KindNoEndpoint
+	switch {
+	case r.mayHaveRun:
+		kind = answerer.KindUncertain
+	case retryAfter > 0:
+		kind = answerer.KindEndpointsLimited
+	}
+	r.finishUnansweredWithRetry(ctx, kind, max(capacityRetryAfter, retryAfter))
+}
+
 // logPostponed logs the placer's estimates by which the request was postponed.
 func (r *relayedRequest) logPostponed(placement dispatcher.Placement) {
 	r.relayer.logger.Info("Postponed.", "request", r.metadata.ID, "route", r.route.Name, "service", r.placementRequest.Service,
@@ -312,6 +324,9 @@
 func (r *relayedRequest) handleResponse(ctx context.Context, a *attempt) {
 	metadata := r.relayer.codec.ParseResponse(a.response.StatusCode, a.response.Header)
 	a.endpointLoad, a.rateLimit = metadata.Load, metadata.RateLimit
+	if !metadata.Misdirected && metadata.RequestID == r.metadata.ID {
+		r.recordLimit(a, metadata)
+	}
 	switch {
 	case metadata.Misdirected:
 		a.result, a.failureCause = placer.Misdirected, errors.New("another endpoint has the address")
@@ -337,6 +352,19 @@
 	}
 }
 
+// recordLimit records what an answer says of its endpoint's limit. A limit that cannot be
+// read leaves the one before in force.
+func (r *relayedRequest) recordLimit(a *attempt, metadata ResponseMetadata) {
+	if metadata.HasInvalidRateLimit || (metadata.RateLimit == nil && !r.relayer.dispatcher.HasLimits()) {
+		return
+	}
+	var limit throttler.Limit
+	if metadata.RateLimit != nil {
+		limit = throttler.Limit{IsStated: true, Rate: float64(*metadata.RateLimit)}
+	}
+	r.relayer.dispatcher.RecordLimit(a.placement, a.sentAt, limit)
+}
+
 // defaultMaxConnections is the number of connections that an endpoint accepts if the
 // configuration does not state it.
 const defaultMaxConnections = 100
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -53,9 +53,16 @@
 }
 
 func (testCodec) ParseResponse(status int, header http.Header) relayer.ResponseMetadata {
-	return relayer.ResponseMetadata{
+	metadata := relayer.ResponseMetadata{
 		RequestID: header.Get("X-Id"), NotRun: header.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 	}
+	if text := header.Get("X-Limit"); text != "" {
+		rate, err := strconv.ParseFloat(text, 64)
+		limit := relayer.RateLimit(rate)
+		metadata.RateLimit, metadata.HasInvalidRateLimit = &limit, err != nil
+	}
+
+	return metadata
 }
 
 // testRoutes has a route for each kind of request.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -272,13 +272,12 @@
 func (r *relayedRequest) preparePlacement() {
 	service := r.route.PickService(r.relayer.random())
 	r.service, _ = r.matcher.Service(service)
-	r.placementRequest = placer.Request{Service: service}
+	r.placementRequest = placer.Request{Service: service, Tier: r.forwarding.Tier}
 	if r.service.Engine != nil {
 		r.placementRequest.PromptTokens = max(1, r.metadata.PromptTokens)
 		r.placementRequest.OutputTokens = r.metadata.OutputTokens
 		r.placementRequest.Blocks = r.metadata.PromptBlocks
 		r.placementRequest.TargetTimeToFirstToken = r.route.TargetLatency
-		r.placementRequest.Tier = r.forwarding.Tier
 		r.placementRequest.CanCopyCache = r.service.Engine.CanCopyCache
 	} else {
 		r.forwarding.Tier = -1
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -116,6 +116,7 @@
 	r.statusServer = &http.Server{Handler: r.newStatusHandler(platform.ReadyPath), ReadHeaderTimeout: requestHeaderTimeout}
 	r.metricsServer = &http.Server{Handler: counters.Handler(), ReadHeaderTimeout: requestHeaderTimeout}
 	r.gossiper = r.newGossiper(platform.Decoder, counters, logger.Named("gossiper"))
+	r.dispatcher.SetPermitSource(r.gossiper)
 	r.peerServer = &http.Server{Handler: r.gossiper.Handler(), ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: peerIdleTimeout}
 	instanceAnnouncer := announcer.New(announcer.Settings{
 		Kind: platform.Decoder.InstanceKind(), Name: settings.Name, Address: settings.PeerListen,
--- a/pkg/answerer/answer.go
+++ b/pkg/answerer/answer.go
@@ -86,6 +86,7 @@
 	KindHopeless:          newAnswer("hopeless", statusTooManyRequests, NotRun, longRetryDelay),
 	KindLimited:           newAnswer("limited", statusTooManyRequests, NotRun, shortRetryDelay),
 	KindNoEndpoint:        newAnswer("no-endpoint", statusUnavailable, NotRun, longRetryDelay),
+	KindEndpointsLimited:  newAnswer("endpoints-limited", statusUnavailable, NotRun, shortRetryDelay),
 	KindQuarantined:       newAnswer("quarantined", statusUnprocessable, NotRun, poisonRetryDelay),
 	KindStopping:          newAnswer("stopping", statusUnavailable, NotRun, shortRetryDelay),
 	KindStoreDown:         newAnswer("store-down", statusUnavailable, NotRun, longRetryDelay),
--- a/pkg/answerer/kind.go
+++ b/pkg/answerer/kind.go
@@ -35,6 +35,9 @@
 	// KindNoEndpoint is a request for a service that has no endpoint able to
 	// take it.
 	KindNoEndpoint
+	// KindEndpointsLimited is a request for a service all of whose endpoints have
+	// stated limits that are used up.
+	KindEndpointsLimited
 	// KindQuarantined is a request that is refused because requests with the
 	// same fingerprint crashed endpoints.
 	KindQuarantined
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -121,6 +121,20 @@
 	return s.pickEngine(), true
 }
 
+// BlockedUntil returns the earliest time at which one of the endpoints that are blocked for
+// a request may get it; zero if none of its service's endpoints is blocked.
+func (p *Placer) BlockedUntil(request Request) time.Time {
+	var earliest time.Time
+	for id, until := range request.Blocked {
+		e := p.endpoints[id]
+		if e != nil && e.Service == request.Service && e.isEligible() && (earliest.IsZero() || until.Before(earliest)) {
+			earliest = until
+		}
+	}
+
+	return earliest
+}
+
 // ShouldPostpone reports whether a request for which Pick made a choice should be
 // refused now, and after how long the caller should try again. When a backlog makes
 // every long prompt late, postponing some of them lets the others be on time. A
@@ -300,6 +314,11 @@
 	p.peerLoads.receiveUpdate(peerID{name: peer}, id, load, p.endpoints)
 }
 
+// HasEndpoint reports whether an endpoint is registered.
+func (p *Placer) HasEndpoint(id string) bool {
+	return p.endpoints[id] != nil
+}
+
 // LocalLoad returns this instance's load at one endpoint.
 func (p *Placer) LocalLoad(id string) Load {
 	if e := p.endpoints[id]; e != nil {
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -34,6 +34,9 @@
 	TargetTimeToFirstToken time.Duration
 	// AvoidEndpoints are the IDs of endpoints that failed or refused this request.
 	AvoidEndpoints []string
+	// Blocked are the IDs of endpoints that may not get this request, and until when.
+	// Unlike those to avoid, they are not chosen even if there is no other.
+	Blocked map[string]time.Time
 }
 
 // prefixGroup returns the ID of the request's prefix group: the block that it shares
--- /dev/null
+++ b/pkg/throttler/home.go
@@ -0,0 +1,88 @@
+package throttler
+
+import (
+	"math"
+	"time"
+
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
+)
+
+// Reply is a home's answer to an ask.
+type Reply struct {
+	// Permits is the number of requests that may be sent; 0 if the ask is denied.
+	Permits int
+	// Wait is the time after which a denied request of the same tier may ask again.
+	Wait time.Duration
+}
+
+const (
+	// takeoverDelay is how long an instance that has become a home lends nothing, in
+	// which the others notice and the permits of the previous home expire.
+	takeoverDelay = 2 * time.Second
+	// burstTime sets the permits that a home saves up for asks at the same time: those of
+	// this time, but at least minBurst.
+	burstTime = 250 * time.Millisecond
+	minBurst  = 2.0
+	// demandTimeConstant is the time constant with which asks are forgotten.
+	demandTimeConstant = time.Second
+	// maxPermits is the largest number of permits lent at once.
+	maxPermits = 16
+	// lowestWait and longestWait bound the wait of a denied request.
+	lowestWait  = 20 * time.Millisecond
+	longestWait = 2 * time.Second
+)
+
+// Lend answers an ask for a permit for a request of a tier.
+func (t *Throttler) Lend(now time.Time, endpoint string, tier int) Reply {
+	r := t.records[endpoint]
+	switch {
+	case r == nil || !r.limit.IsStated:
+		return Reply{Permits: 1}
+	case r.home != t.instanceName:
+		return Reply{Wait: unansweredWait}
+	case now.Sub(r.homeSince) < takeoverDelay:
+		return Reply{Wait: takeoverDelay - now.Sub(r.homeSince)}
+	}
+	r.refill(now)
+	tier = clampTier(tier)
+	higherDemand := 0.0
+	for i := range tier {
+		higherDemand += r.demand[i]
+	}
+	r.demand[tier]++
+	// Lower tiers leave the saved permits to higher ones, as far as these ask for them.
+	needed := min(r.burst(), 1+(r.burst()-1)*higherDemand/(r.rate()*demandTimeConstant.Seconds()))
+	if r.tokens < needed {
+		wait := time.Duration((needed - r.tokens) / r.rate() * float64(time.Second))
+
+		return Reply{Wait: min(max(wait, lowestWait), longestWait)}
+	}
+	permits := 1 + min(maxPermits-1, int((r.tokens-needed)/float64(2*len(t.members))))
+	r.tokens -= float64(permits)
+
+	return Reply{Permits: permits}
+}
+
+// rate returns the permits that a home lends in a second.
+func (r *record) rate() float64 {
+	return max(r.limit.Rate, lowestRate)
+}
+
+// burst returns the most permits that a home saves up.
+func (r *record) burst() float64 {
+	return max(minBurst, r.rate()*burstTime.Seconds())
+}
+
+// refill adds the permits for the time since the last refill and forgets older asks.
+func (r *record) refill(now time.Time) {
+	elapsed := now.Sub(r.refilledAt)
+	if elapsed <= 0 {
+		return
+	}
+	r.refilledAt = now
+	r.tokens = min(r.burst(), r.tokens+r.rate()*elapsed.Seconds())
+	factor := math.Exp(-elapsed.Seconds() / demandTimeConstant.Seconds())
+	for i := range placer.TierCount {
+		r.demand[i] *= factor
+	}
+}
