sse: Bound the length of an event of many short lines

Cause: the length of an event was checked only while a line longer than the read buffer came, so that an endpoint sending short lines without an empty one between them filled an instance's memory until the request's deadline. Change: the length is checked after each line. The new case of TestRawReaderReturnsEventsUnchanged read all of the stream before.

--- a/internal/common/sse/raw.go
+++ b/internal/common/sse/raw.go
@@ -68,19 +68,19 @@
 	}
 }
 
-// appendLine reads a line and appends it to the event with its line break. The length
-// of the event is checked only while reading a line that is longer than the read buffer.
+// appendLine reads a line and appends it to the event with its line break. It returns
+// ErrMalformed once the event is longer than MaxLineBytes.
 func (r *RawReader) appendLine() error {
 	for {
 		fragment, err := r.buffered.ReadSlice('\n')
 		r.event = append(r.event, fragment...)
 		switch {
+		case len(r.event) > MaxLineBytes:
+			return errors.Wrap(ErrMalformed, "event too long")
 		case err == nil:
 			return nil
 		case !errors.Is(err, bufio.ErrBufferFull):
 			return err
-		case len(r.event) > MaxLineBytes:
-			return errors.Wrap(ErrMalformed, "event too long")
 		}
 	}
 }
--- a/internal/common/sse/raw_test.go
+++ b/internal/common/sse/raw_test.go
@@ -25,6 +25,7 @@
 		"cut in event":       {"id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
 		"not a number":       {"id: x\n\n", nil, sse.ErrMalformed},
 		"longer than buffer": {"id: 1\n" + longEvent, []int64{1}, io.EOF},
+		"too many lines":     {strings.Repeat("data: x\n", 10_000), nil, sse.ErrMalformed},
 		"too long":           {strings.Repeat("data: "+strings.Repeat("x", 10_000), 8), nil, sse.ErrMalformed},
 	} {
 		t.Run(name, func(t *testing.T) {
