--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -17,7 +17,6 @@
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
-	"github.com/oleanderpick/oleanderpick/pkg/throttler"
 )
 
 // attempt is one sending of a request to an endpoint.
@@ -318,79 +317,3 @@
 
 	return request.WithContext(ctx)
 }
-
-// handleResponse decides by the status and headers of a response whether its body is
-// forwarded or discarded, or whether the attempt has failed.
-func (r *relayedRequest) handleResponse(ctx context.Context, a *attempt) {
-	metadata := r.relayer.codec.ParseResponse(a.response.StatusCode, a.response.Header)
-	a.endpointLoad, a.rateLimit = metadata.Load, metadata.RateLimit
-	if !metadata.Misdirected && metadata.RequestID == r.metadata.ID {
-		r.recordLimit(a, metadata)
-	}
-	switch {
-	case metadata.Misdirected:
-		a.result, a.failureCause = placer.Misdirected, errors.New("another endpoint has the address")
-		r.discardResponse(a)
-	case metadata.RequestID != r.metadata.ID:
-		a.mayHaveRun = !metadata.NotRun
-		r.failAttempt(ctx, a, errors.Errorf("answer is for request %q", metadata.RequestID))
-	case a.response.Header.Get("Content-Encoding") != "":
-		a.mayHaveRun = true
-		r.failAttempt(ctx, a, errors.New("answer has a content encoding"))
-	case metadata.NotRun && a.response.StatusCode != http.StatusBadRequest:
-		a.result, a.failureCause = placer.Refused, errors.Errorf("refused with status %d", a.response.StatusCode)
-		r.discardResponse(a)
-	case a.response.StatusCode == http.StatusOK && isEventStream(a.response.Header):
-		a.mayHaveRun = true
-		r.forwardStream(ctx, a)
-	case r.answerStarted:
-		a.mayHaveRun = true
-		r.failAttempt(ctx, a, errors.Errorf("status %d instead of further events", a.response.StatusCode))
-	default:
-		a.mayHaveRun = true
-		r.forwardBuffered(ctx, a)
-	}
-}
-
-// recordLimit records what an answer says of its endpoint's limit. A limit that cannot be
-// read leaves the one before in force.
-func (r *relayedRequest) recordLimit(a *attempt, metadata ResponseMetadata) {
-	if metadata.HasInvalidRateLimit || (metadata.RateLimit == nil && !r.relayer.dispatcher.HasLimits()) {
-		return
-	}
-	var limit throttler.Limit
-	if metadata.RateLimit != nil {
-		limit = throttler.Limit{IsStated: true, Rate: float64(*metadata.RateLimit)}
-	}
-	r.relayer.dispatcher.RecordLimit(a.placement, a.sentAt, limit)
-}
-
-// defaultMaxConnections is the number of connections that an endpoint accepts if the
-// configuration does not state it.
-const defaultMaxConnections = 100
-
-// releaseConnection returns the connection to the connector for reuse. All instances
-// together keep at most half of the connections that the endpoint accepts idle. This
-// instance keeps an equal share of that half.
-func (r *relayedRequest) releaseConnection(a *attempt) {
-	maxConnections := r.service.MaxConnections
-	if maxConnections <= 0 {
-		maxConnections = defaultMaxConnections
-	}
-	r.relayer.connections.Release(a.connection, a.response, r.relayer.dispatcher.LocalShare(maxConnections/2))
-}
-
-// maxDiscardedBytes is how much of a discarded answer is read so that its connection can
-// be reused. The connection of a longer answer is closed.
-const maxDiscardedBytes = 16 << 10
-
-// discardResponse reads the body of an answer that is not forwarded.
-func (r *relayedRequest) discardResponse(a *attempt) {
-	n, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDiscardedBytes))
-	if err != nil || n == maxDiscardedBytes {
-		a.connection.Close()
-
-		return
-	}
-	r.releaseConnection(a)
-}
