connector: Bound the headers of a response

Cause: net/http reads up to 10 MB of a response's headers, so that a few endpoints whose heads do not end fill an instance of 112 MB, and keep their requests until the deadline. Change: 64 KB, interim responses included. TestEndlessBytesEndTheAttempt: a head, a header, interim answers and bytes that are no answer were answered 504 at the deadline before, and are answered 502 at once.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -64,6 +64,10 @@
 	}
 }
 
+// maxResponseHeaderBytes limits the size of the headers of a response, and of interim
+// responses before it.
+const maxResponseHeaderBytes = 64 << 10
+
 // Connector is a pool of connections by address. It is safe for concurrent use.
 type Connector struct {
 	settings  Settings
@@ -94,9 +98,10 @@
 func New(settings Settings, dial DialFunc) *Connector {
 	c := &Connector{settings: settings, idle: map[string][]*Connection{}}
 	c.transport = &http.Transport{
-		DisableCompression: true,
-		ReadBufferSize:     4 << 10,
-		WriteBufferSize:    4 << 10,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		ReadBufferSize:         4 << 10,
+		WriteBufferSize:        4 << 10,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
