relayer: Do not wait for the end of a refusal's body

Cause: the body of a refusal was read up to 16 KB, however long that took, before the request went on. A refusal whose body does not end held its request until the deadline. A refusal of 1 MB without the mark of a request that has not run was forwarded, though a small one is answered 502: its status promises what is not known. Change: discarding a body may take 100 ms, then the connection is closed. The status of a large answer is checked like that of a small one.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -45,6 +45,11 @@
 
 		return
 	}
+	if n == maxBufferedBytes && promisesNotRun(a.response.StatusCode) {
+		r.failAttempt(ctx, a, errors.Errorf("status %d with a body of %d bytes or more", a.response.StatusCode, n))
+
+		return
+	}
 	if n == maxBufferedBytes {
 		r.forwardLarge(a, buffer.Bytes())
 
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -76,8 +77,14 @@
 // be reused. The connection of a longer answer is closed.
 const maxDiscardedBytes = 16 << 10
 
+// maxDiscardTime is how long the body of a discarded answer may take. The bodies of
+// refusals arrive with their headers.
+const maxDiscardTime = 100 * time.Millisecond
+
 // discardResponse reads the body of an answer that is not forwarded.
 func (r *relayedRequest) discardResponse(a *attempt) {
+	timer := time.AfterFunc(maxDiscardTime, a.connection.Close)
+	defer timer.Stop()
 	n, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDiscardedBytes))
 	if err != nil || n == maxDiscardedBytes {
 		a.connection.Close()
