throttler: Let denied instances ask less often when many do

Cause: a denied instance asks again once the next permit is due, so that the asks at a home grow with the fleet and its load. Change: with more than four asks for each permit, the wait grows in proportion.

--- a/pkg/throttler/home.go
+++ b/pkg/throttler/home.go
@@ -25,6 +25,9 @@
 	minBurst  = 2.0
 	// demandTimeConstant is the time constant with which asks are forgotten.
 	demandTimeConstant = time.Second
+	// asksPerPermit is the number of asks for each permit above which denied instances
+	// wait longer, so that the asks do not grow with the fleet.
+	asksPerPermit = 4
 	// maxPermits is the largest number of permits lent at once.
 	maxPermits = 16
 	// lowestWait and longestWait bound the wait of a denied request.
@@ -45,17 +48,13 @@
 	}
 	r.refill(now)
 	tier = clampTier(tier)
-	higherDemand := 0.0
-	for i := range tier {
-		higherDemand += r.demand[i]
-	}
 	r.demand[tier]++
 	// Lower tiers leave the saved permits to higher ones, as far as these ask for them.
-	needed := min(r.burst(), 1+(r.burst()-1)*higherDemand/(r.rate()*demandTimeConstant.Seconds()))
+	needed := min(r.burst(), 1+(r.burst()-1)*r.demandRatio(tier))
 	if r.tokens < needed {
-		wait := time.Duration((needed - r.tokens) / r.rate() * float64(time.Second))
+		wait := (needed - r.tokens) / r.rate() * max(1, r.demandRatio(placer.TierCount)/asksPerPermit)
 
-		return Reply{Wait: min(max(wait, lowestWait), longestWait)}
+		return Reply{Wait: time.Duration(min(max(wait, lowestWait.Seconds()), longestWait.Seconds()) * float64(time.Second))}
 	}
 	permits := 1 + min(maxPermits-1, int((r.tokens-needed)/float64(2*len(t.members))))
 	r.tokens -= float64(permits)
@@ -68,6 +67,17 @@
 	return max(r.limit.Rate, lowestRate)
 }
 
+// demandRatio returns the rate of the asks of all tiers above the given one, as a multiple
+// of the limit.
+func (r *record) demandRatio(tier int) float64 {
+	demand := 0.0
+	for i := range tier {
+		demand += r.demand[i]
+	}
+
+	return demand / (r.rate() * demandTimeConstant.Seconds())
+}
+
 // burst returns the most permits that a home saves up.
 func (r *record) burst() float64 {
 	return max(minBurst, r.rate()*burstTime.Seconds())
