relayer: Keep a slow answer while no endpoint may get a repeat

Cause: an idempotent request whose endpoint was silent for 0.6 of its target was canceled there before it had another endpoint. With limits at all endpoints there is none, so that the caller got 502 for a request that was about to be answered. Change: the stall detector cancels an attempt only if an endpoint may get the repeat without an ask, and looks again after the same time. TestSlowAnswerIsKeptWhileNoEndpointMayGetARepeat failed before.

--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/throttler"
 )
 
@@ -71,6 +72,17 @@
 		"tier", need.ask.Tier, "permits", reply.Permits, "wait ms", reply.Wait.Milliseconds(), "error", cause)
 }
 
+// CanPlace reports whether an endpoint may get the request now without an ask for a permit.
+func (d *Dispatcher) CanPlace(request placer.Request) (ok bool) {
+	d.runAndWait(func() {
+		now := d.clock.Now()
+		request.Blocked = d.throttler.Blocked(now, request.Tier, false)
+		_, ok = d.placer.Pick(now, request)
+	})
+
+	return ok
+}
+
 // Lend answers a peer's ask for a permit.
 func (d *Dispatcher) Lend(ask PermitAsk) (reply throttler.Reply) {
 	d.runAndWait(func() {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -205,7 +205,7 @@
 func (r *relayedRequest) sendAndReceive(ctx context.Context, a *attempt) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a.stallDetector = r.startStallDetector(a.placement, cancel)
+	a.stallDetector = r.startStallDetector(ctx, a.placement, cancel)
 	defer a.stallDetector.stop()
 	conn, err := r.relayer.connections.Open(ctx, a.placement.Address)
 	if err != nil {
--- a/internal/relayer/limit_test.go
+++ b/internal/relayer/limit_test.go
@@ -115,3 +115,40 @@
 		assert.Assert(t, h.arrivalCount()-before <= 2*8, "%d requests", h.arrivalCount()-before)
 	})
 }
+
+// Guards against giving up a slow answer for a repeat that no endpoint may get.
+func TestSlowAnswerIsKeptWhileNoEndpointMayGetARepeat(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		var isSlow atomic.Bool
+		answerWithLimit := func(w http.ResponseWriter, _ *http.Request) {
+			if isSlow.Load() {
+				time.Sleep(time.Second)
+			}
+			w.Header().Set("X-Limit", "0.2")
+			_, _ = io.WriteString(w, "answer")
+		}
+		h.serveEndpoints(answerWithLimit, answerWithLimit)
+		h.sendEvery(100*time.Millisecond, 4*time.Second)
+		time.Sleep(4 * time.Second) // Each endpoint may get one request again.
+		h.confirmConfiguration()
+		isSlow.Store(true)
+		statuses := make(chan int, 3)
+		for range cap(statuses) {
+			go func() {
+				response, _, err := h.send(h.newRequest(http.MethodGet, "/often/x", ""))
+				if err != nil {
+					t.Error(err)
+					statuses <- 0
+
+					return
+				}
+				statuses <- response.StatusCode
+			}()
+		}
+		counts := map[int]int{}
+		for range cap(statuses) {
+			counts[<-statuses]++
+		}
+		assert.DeepEqual(t, counts, map[int]int{http.StatusOK: 2, http.StatusServiceUnavailable: 1})
+	})
+}
--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -8,6 +8,7 @@
 
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
 )
 
@@ -27,12 +28,13 @@
 var errStalled = errors.New("no data came from the endpoint in time")
 
 // stallDetector cancels a repeatable attempt whose endpoint sends nothing. It first
-// takes a repeat from the repeat limiter, so that an attempt is only canceled if another
-// one may follow. A nil stallDetector does nothing.
+// takes a repeat from the repeat limiter and checks that the endpoints' limits leave room,
+// so that an attempt is only canceled if another one may follow. A nil stallDetector does nothing.
 type stallDetector struct {
 	request   *relayedRequest
+	ctx       context.Context // of the attempt
 	placement dispatcher.Placement
-	service   string
+	repeat    placer.Request         // what another attempt would ask the placer for
 	history   retrier.AttemptHistory // the attempts so far and this one, counted as run
 	cancel    context.CancelCauseFunc
 	timer     *time.Timer
@@ -41,12 +43,12 @@
 
 // startStallDetector starts to watch an attempt. It returns nil if the request must not
 // be repeated, or if it is idempotent and its route has no target latency.
-func (r *relayedRequest) startStallDetector(placement dispatcher.Placement, cancel context.CancelCauseFunc) *stallDetector {
+func (r *relayedRequest) startStallDetector(ctx context.Context, placement dispatcher.Placement, cancel context.CancelCauseFunc) *stallDetector {
 	if !r.route.CanRepeat() || r.possibleRuns+1 >= r.route.MaxRuns {
 		return nil
 	}
 	d := &stallDetector{
-		request: r, placement: placement, service: r.placementRequest.Service, cancel: cancel, timeout: maxStreamSilence + placement.ExpectedTimeToFirstToken,
+		request: r, ctx: ctx, placement: placement, repeat: r.placementRequest, cancel: cancel, timeout: maxStreamSilence + placement.ExpectedTimeToFirstToken,
 		history: retrier.AttemptHistory{MayHaveRun: true, Repeatable: true, PossibleRuns: r.possibleRuns + 1, MaxRuns: r.route.MaxRuns, Refusals: r.refusals},
 	}
 	if r.route.Kind == matcher.Idempotent {
@@ -80,6 +82,9 @@
 // change.
 func (d *stallDetector) check() {
 	r := d.request
+	if d.ctx.Err() != nil {
+		return
+	}
 	if r.route.Kind == matcher.Streaming {
 		if silence := r.relayer.dispatcher.SinceLastActivity(d.placement); silence < d.timeout {
 			d.timer.Reset(d.timeout - silence)
@@ -87,8 +92,13 @@
 			return
 		}
 	}
+	if r.relayer.dispatcher.HasLimits() && !r.relayer.dispatcher.CanPlace(d.repeat) {
+		d.timer.Reset(d.timeout)
+
+		return
+	}
 	d.history.RemainingTime = time.Until(r.deadline)
-	if r.relayer.dispatcher.TakeRepeat(d.service, d.history, true) != retrier.ReasonNone {
+	if r.relayer.dispatcher.TakeRepeat(d.repeat.Service, d.history, true) != retrier.ReasonNone {
 		return
 	}
 	d.cancel(errStalled)
--- a/pkg/throttler/home.go
+++ b/pkg/throttler/home.go
@@ -35,6 +35,16 @@
 	longestWait = 2 * time.Second
 )
 
+// canLend reports whether this instance is the home and has a permit left.
+func (t *Throttler) canLend(now time.Time, r *record) bool {
+	if r.home != t.instanceName || now.Sub(r.homeSince) < takeoverDelay {
+		return false
+	}
+	r.refill(now)
+
+	return r.tokens >= 1
+}
+
 // Lend answers an ask for a permit for a request of a tier.
 func (t *Throttler) Lend(now time.Time, endpoint string, tier int) Reply {
 	r := t.records[endpoint]
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -100,7 +100,7 @@
 
 // Blocked returns the endpoints that a request of a tier may not go to now; nil if there
 // are none. The values are the times from which on it may be tried again. If mayAsk is
-// false, endpoints whose home must be asked are blocked too.
+// false, endpoints whose home must be asked or has no permit are blocked too.
 func (t *Throttler) Blocked(now time.Time, tier int, mayAsk bool) map[string]time.Time {
 	var blocked map[string]time.Time
 	for endpoint, r := range t.records {
@@ -108,7 +108,7 @@
 			continue
 		}
 		until := r.blockedUntil[clampTier(tier)]
-		if r.isAsking || (!mayAsk && r.home != t.instanceName) {
+		if r.isAsking || (!mayAsk && !t.canLend(now, r)) {
 			until = maxTime(until, now.Add(lowestWait))
 		}
 		if until.After(now) {
