--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -9,15 +9,13 @@
 // share.
 //
 // State is bounded by the workspaces that have requests in flight or whose token bucket
-// was used within IdleTTL; the next Sweep removes the others. A Limiter is not safe for
+// was used within IdleTTL or is not full; the next Sweep removes the others. A Limiter is not safe for
 // concurrent use.
 package limiter
 
 import "time"
 
-// IdleTTL is the time after which an idle workspace is removed. A token bucket holds the
-// requests of one second, but at least one, so that it is full again by then if the
-// instance's share of the rate is at least one request in two seconds.
+// IdleTTL is the time after which an idle workspace whose token bucket is full is removed.
 const IdleTTL = 2 * time.Second
 
 // Limits holds the limits of a workspace; a zero field means no limit.
@@ -90,11 +88,12 @@
 	}
 }
 
-// Sweep removes the workspaces that have no request in flight and whose token bucket was
-// not used for longer than IdleTTL.
+// Sweep removes the workspaces that have no request in flight and whose token bucket is
+// full and was not used for longer than IdleTTL.
 func (l *Limiter) Sweep(now time.Time) {
 	for name, state := range l.workspaces {
-		if state.inFlight == 0 && now.Sub(state.lastRefill) > IdleTTL {
+		isIdle := state.inFlight == 0 && now.Sub(state.lastRefill) > IdleTTL
+		if isIdle && state.isFull(now, l.instanceShare(l.limits[name])) {
 			delete(l.workspaces, name)
 		}
 	}
@@ -120,6 +119,14 @@
 	return max(1, limits.MaxRequestsPerSecond)
 }
 
+// isFull reports whether the bucket would be full after a refill.
+func (s *workspaceState) isFull(now time.Time, limits Limits) bool {
+	refilled := *s
+	refilled.refill(now, limits)
+
+	return limits.MaxRequestsPerSecond <= 0 || refilled.availableTokens >= bucketCapacity(limits)
+}
+
 // refill adds the tokens for the time since the last refill.
 func (s *workspaceState) refill(now time.Time, limits Limits) {
 	s.availableTokens = min(bucketCapacity(limits), s.availableTokens+now.Sub(s.lastRefill).Seconds()*limits.MaxRequestsPerSecond)
--- a/pkg/limiter/limiter_test.go
+++ b/pkg/limiter/limiter_test.go
@@ -71,6 +71,26 @@
 	assert.Equal(t, l.WorkspaceCount(), 1)
 }
 
+// Guards against a sweep that gives a workspace a full bucket before its share of the rate
+// has refilled it: limits below one request in two seconds for each instance.
+func TestSweepKeepsRatesBelowOneRequestInTwoSeconds(t *testing.T) {
+	const instances, rate, interval, requests = 7, 1.0, 2100 * time.Millisecond, 20
+	l := limiter.New()
+	l.Configure(map[string]limiter.Limits{"clinic": {MaxRequestsPerSecond: rate}})
+	l.SetInstanceCount(instances)
+	admitted := 0
+	for i := range requests {
+		now := testStart.Add(time.Duration(i) * interval)
+		if ok, _ := l.Admit(now, "clinic"); ok {
+			admitted++
+			l.Release("clinic")
+		}
+		l.Sweep(now.Add(interval - 1))
+	}
+	maxAdmitted := 1 + int(rate/instances*(requests*interval).Seconds())
+	assert.Assert(t, admitted <= maxAdmitted, "%d requests admitted, %d are allowed", admitted, maxAdmitted)
+}
+
 func ExampleLimiter_Admit() {
 	l := limiter.New()
 	l.Configure(map[string]limiter.Limits{"clinic": {MaxInFlight: 14, MaxRequestsPerSecond: 3.5}})
