drainer: Stop accepting connections before the stop's limit

Cause: at the limit of a stop the listener closed, idle connections closed and requests in flight were cut, all at once. While the balancer has too few other instances callers keep connecting, and an instance short of processor time has requests then that it has read and not yet refused. Change: the listener closes 0.5 s before the limit, and only requests that end 0.3 s before it are accepted. TestNoConnectionIsAcceptedRightBeforeTheStopTimeout failed before.

--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -75,6 +75,7 @@
 	callerConnections   *connectionTracker
 	supervisor          *suture.Supervisor
 	callerServer        *http.Server
+	callerListener      net.Listener
 	statusServer        *http.Server
 	peerServer          *http.Server
 	metricsServer       *http.Server
@@ -243,6 +244,7 @@
 		}
 		listeners[server] = listener
 	}
+	r.callerListener = listeners[r.callerServer]
 	r.listenAddresses = listenAddresses{
 		callers: listeners[r.callerServer].Addr().String(),
 		status:  listeners[r.statusServer].Addr().String(),
--- a/internal/relayrunner/stop.go
+++ b/internal/relayrunner/stop.go
@@ -19,6 +19,13 @@
 	// processExitMargin is the part of the stop timeout that is reserved for the exit of
 	// the process, which takes about 50 ms.
 	processExitMargin = 400 * time.Millisecond
+	// acceptMargin is how long before the end of the stop timeout no further connection is
+	// accepted. A request arrives within a round trip after its connection is opened, 200 ms
+	// later if a packet is lost.
+	acceptMargin = 500 * time.Millisecond
+	// answerMargin is how long before the end of the stop timeout the last requests must
+	// have their answers, so that none is cut off if the machine is short of processor time.
+	answerMargin = 300 * time.Millisecond
 	// drainCheckInterval is how often a stopping instance checks what to do next.
 	drainCheckInterval = 50 * time.Millisecond
 )
@@ -46,7 +53,7 @@
 
 // drain serves until the instance may exit, as pkg/drainer decides.
 func (r *Runner) drain(startedAt time.Time, timeout time.Duration) {
-	settings := drainer.Settings{BalancerNoticeDelay: balancerNoticeDelay, QuietWindow: quietWindow, StopTimeout: timeout}
+	settings := drainer.Settings{BalancerNoticeDelay: balancerNoticeDelay, QuietWindow: quietWindow, StopTimeout: timeout, AcceptMargin: acceptMargin}
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
 	for now := startedAt; ; now = <-ticker.C {
@@ -54,12 +61,21 @@
 			Elapsed: now.Sub(startedAt), InFlight: r.relayer.InFlight(), SinceLastConnection: now.Sub(r.callerConnections.lastOpenTime()),
 		})
 		switch action {
+		case drainer.StopAccepting:
+			_ = r.callerListener.Close()
+			r.finishRequests(startedAt.Add(timeout))
 		case drainer.FinishRequests:
-			r.relayer.SetStopDeadline(startedAt.Add(timeout))
-			r.callerConnections.closeAll()
+			r.finishRequests(startedAt.Add(timeout))
 		case drainer.Exit:
 			return
 		case drainer.Serve:
 		}
 	}
 }
+
+// finishRequests closes idle connections and refuses requests that may not end before the
+// given end of the stop.
+func (r *Runner) finishRequests(end time.Time) {
+	r.relayer.SetStopDeadline(end.Add(-answerMargin))
+	r.callerConnections.closeAll()
+}
--- a/pkg/drainer/drainer.go
+++ b/pkg/drainer/drainer.go
@@ -6,7 +6,8 @@
 // closes idle connections and refuses requests that may last longer than the stop, so
 // that callers send them elsewhere. It exits when no request is in flight and no
 // connection was opened recently: a connection whose first packets were lost may
-// still be on its way.
+// still be on its way. If callers keep connecting, it stops accepting connections some
+// time before its limit, so that the requests that it has read are answered by then.
 //
 // The decision depends on Settings and Progress only: equal progress gives the same
 // action.
@@ -25,6 +26,8 @@
 	// StopTimeout is the time after which the instance exits even if requests are in
 	// flight.
 	StopTimeout time.Duration
+	// AcceptMargin is how long before StopTimeout the instance stops accepting connections.
+	AcceptMargin time.Duration
 }
 
 // Progress is how far a planned stop has come.
@@ -47,13 +50,15 @@
 	// FinishRequests closes idle connections and accepts only requests that will end
 	// before the stop does.
 	FinishRequests
+	// StopAccepting does the same and closes the listener.
+	StopAccepting
 	// Exit closes all connections and ends the process.
 	Exit
 )
 
 // String returns the action's name for logs.
 func (a Action) String() string {
-	return [...]string{"serve", "finish", "end"}[a]
+	return [...]string{"serve", "finish", "stop accepting", "end"}[a]
 }
 
 // NextAction returns what the instance should do now.
@@ -63,9 +68,11 @@
 		return Exit
 	case p.Elapsed < s.BalancerNoticeDelay:
 		return Serve
-	case p.InFlight > 0 || p.SinceLastConnection < s.QuietWindow:
-		return FinishRequests
+	case p.InFlight == 0 && p.SinceLastConnection >= s.QuietWindow:
+		return Exit
+	case p.Elapsed >= s.StopTimeout-s.AcceptMargin:
+		return StopAccepting
 	}
 
-	return Exit
+	return FinishRequests
 }
--- a/pkg/drainer/drainer_test.go
+++ b/pkg/drainer/drainer_test.go
@@ -10,7 +10,7 @@
 	"github.com/oleanderpick/oleanderpick/pkg/drainer"
 )
 
-var settings = drainer.Settings{BalancerNoticeDelay: 2500 * time.Millisecond, QuietWindow: 400 * time.Millisecond, StopTimeout: 7600 * time.Millisecond}
+var settings = drainer.Settings{BalancerNoticeDelay: 2500 * time.Millisecond, QuietWindow: 400 * time.Millisecond, StopTimeout: 7600 * time.Millisecond, AcceptMargin: 500 * time.Millisecond}
 
 // A connection whose first packets are lost arrives about 200 ms after it was opened.
 // When instances were stopped one after the other, requests on such connections found
@@ -33,6 +33,16 @@
 	}
 }
 
+// Guards against requests that are read right before the instance exits, because callers
+// keep connecting, and are cut off without an answer.
+func TestNoConnectionIsAcceptedRightBeforeTheStopTimeout(t *testing.T) {
+	for elapsed := time.Duration(0); elapsed < settings.StopTimeout; elapsed += 50 * time.Millisecond {
+		action := settings.NextAction(drainer.Progress{Elapsed: elapsed, InFlight: 3, SinceLastConnection: 10 * time.Millisecond})
+		isAccepting := action == drainer.Serve || action == drainer.FinishRequests
+		assert.Equal(t, isAccepting, elapsed < settings.StopTimeout-settings.AcceptMargin, "after %v: %v", elapsed, action)
+	}
+}
+
 // A stop ends within its timeout. It ends earlier only when the balancer has noticed,
 // no request is in flight and no connection was opened recently.
 func TestStopEndsInTimeAndOnlyWhenQuiet(t *testing.T) {
