dispatcher, gossiper: Build no loads for brief messages

Cause: every message was built with loads, prefills and demands, also those that leave them out: every other one to another data centre. Change: the scope of the loads is given; a brief message has none. Decisions do not change: what is left out was not sent.

--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -53,19 +53,28 @@
 	return d.clock.SinceBoot()
 }
 
-// BuildMessage returns the message to send to peers. If asSummary is set, its loads are
-// those of all instances of the data centre, and its prefills only the new ones.
-func (d *Dispatcher) BuildMessage(asSummary bool) (message Message) {
+// LoadScope says whose loads a message has.
+type LoadScope int
+
+// The scopes of the loads in a message.
+const (
+	// NoLoads is the scope of a message without loads, prefills and demands.
+	NoLoads LoadScope = iota
+	// OwnLoads are this instance's.
+	OwnLoads
+	// DataCentreLoads are those of all instances of the data centre. Prefills are only the
+	// new ones.
+	DataCentreLoads
+)
+
+// BuildMessage returns the message to send to peers, with the loads of the given scope.
+func (d *Dispatcher) BuildMessage(scope LoadScope) (message Message) {
 	d.runAndWait(func() {
 		now := d.clock.Now()
-		message.DataCentre, message.IsSummary = d.dataCentre, asSummary
-		if asSummary {
-			message.Loads = d.placer.DataCentreLoads()
-		} else {
-			message.Loads = d.placer.LocalLoads()
+		message.DataCentre, message.IsSummary, message.OmitsLoads = d.dataCentre, scope == DataCentreLoads, scope == NoLoads
+		if scope != NoLoads {
+			d.addLoads(now, &message)
 		}
-		message.Prefills = d.placer.LocalPrefills(now, asSummary)
-		message.Demands = d.placer.LocalDemands(now)
 		message.Suspects = d.suspectsToShare(now)
 		configurationAge, endpointsAge := d.dataAges()
 		if configurationAge >= 0 {
@@ -80,6 +89,17 @@
 	return message
 }
 
+// addLoads adds loads, prefills and demands to a message.
+func (d *Dispatcher) addLoads(now time.Time, message *Message) {
+	if message.IsSummary {
+		message.Loads = d.placer.DataCentreLoads()
+	} else {
+		message.Loads = d.placer.LocalLoads()
+	}
+	message.Prefills = d.placer.LocalPrefills(now, message.IsSummary)
+	message.Demands = d.placer.LocalDemands(now)
+}
+
 // ReceiveMessage records a peer's loads, prefills, demands and suspects. It does not use the
 // message's versions: pass those to ReceiveVersions.
 func (d *Dispatcher) ReceiveMessage(peer string, message Message) {
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -22,7 +22,15 @@
 	p := g.peers[recipient]
 	sharesEngines := g.fleet(now).SharesEngines(p != nil && g.isLocal(p))
 	g.mu.Unlock()
-	state := g.dispatcher.BuildMessage(!sharesEngines)
+	scope := dispatcher.NoLoads
+	switch {
+	case !includeLoads:
+	case sharesEngines:
+		scope = dispatcher.OwnLoads
+	default:
+		scope = dispatcher.DataCentreLoads
+	}
+	state := g.dispatcher.BuildMessage(scope)
 	message := &gossipwire.Message{
 		Name:        g.settings.Name,
 		Address:     g.settings.Address,
--- a/internal/relayer/attempt_test.go
+++ b/internal/relayer/attempt_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 )
 
@@ -204,7 +205,7 @@
 		assert.Assert(t, err != nil, "a truncated answer must not look complete")
 		assert.Assert(t, len(body) > 0)
 		time.Sleep(time.Second)
-		assert.Equal(t, len(h.dispatcher.BuildMessage(false).Loads), 0)
+		assert.Equal(t, len(h.dispatcher.BuildMessage(dispatcher.OwnLoads).Loads), 0)
 	})
 }
 
