placer: Keep the sum of a data centre's loads at each endpoint

Cause: a summary for another data centre added up the loads of all peers at all endpoints anew, some twenty times a second. Change: the sums over single peers and over summaries are kept apart at each endpoint, so that a summary reads one sum for each.

--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -13,7 +13,8 @@
 
 	rank                 uint64 // sort key among the endpoints of its service
 	localLoad            Load
-	remoteLoad           Load // sum over the peers
+	peerLoad             Load // sum over the single peers
+	summarizedLoad       Load // sum over the summaries of other data centres
 	cache                *blockCache
 	recentPrefills       []prefill // for this instance's requests, oldest first
 	consecutiveFailures  int
@@ -87,7 +88,13 @@
 
 // totalLoad returns the known load of all instances at the endpoint.
 func (e *endpoint) totalLoad() Load {
-	return e.localLoad.plus(e.remoteLoad, 1)
+	return e.dataCentreLoad().plus(e.summarizedLoad, 1)
+}
+
+// dataCentreLoad returns the known load of all instances that tell their own loads: those
+// of the data centre in a divided fleet.
+func (e *endpoint) dataCentreLoad() Load {
+	return e.localLoad.plus(e.peerLoad, 1)
 }
 
 // recordResult updates the endpoint's health with the result of an attempt.
--- a/pkg/placer/export_test.go
+++ b/pkg/placer/export_test.go
@@ -4,7 +4,9 @@
 
 // RemoteLoad returns the load of all peers at an endpoint.
 func (p *Placer) RemoteLoad(id string) Load {
-	return p.endpoints[id].remoteLoad
+	e := p.endpoints[id]
+
+	return e.peerLoad.plus(e.summarizedLoad, 1)
 }
 
 // IsSilent reports whether an endpoint has been silent for too long although it runs
--- a/pkg/placer/peers.go
+++ b/pkg/placer/peers.go
@@ -26,7 +26,7 @@
 	isDataCentre bool
 }
 
-// peerLoads holds the last message of each peer. The sum of their loads is kept at each
+// peerLoads holds the last message of each peer. The sums of their loads are kept at each
 // endpoint, so that choosing an endpoint does not take longer in a larger fleet.
 type peerLoads struct {
 	messages        map[peerID]*peerMessage
@@ -38,6 +38,7 @@
 	receivedAt   time.Time
 	meanInterval time.Duration   // average time between two messages
 	loads        map[string]Load // by endpoint ID
+	isSummary    bool            // whether the loads are those of a data centre
 }
 
 // receive replaces a peer's last message.
@@ -47,7 +48,7 @@
 	}
 	message := p.messages[peer]
 	if message == nil {
-		message = &peerMessage{receivedAt: now}
+		message = &peerMessage{receivedAt: now, isSummary: peer.isDataCentre}
 		p.messages[peer] = message
 	}
 	message.addTo(endpoints, -1)
@@ -67,7 +68,8 @@
 	if message.loads == nil {
 		message.loads = map[string]Load{}
 	}
-	e.remoteLoad = e.remoteLoad.plus(message.loads[id], -1).plus(load, 1)
+	message.addLoad(e, message.loads[id], -1)
+	message.addLoad(e, load, 1)
 	message.loads[id] = load
 }
 
@@ -85,31 +87,27 @@
 	}
 }
 
-// addUnsummarizedTo adds the loads of all single instances to a map of loads by endpoint
-// ID.
-func (p *peerLoads) addUnsummarizedTo(loads map[string]Load) {
-	for peer, message := range p.messages {
-		if peer.isDataCentre {
-			continue
-		}
-		for id, load := range message.loads {
-			loads[id] = loads[id].plus(load, 1)
-		}
-	}
-}
-
-// addTo adds the loads of all messages to endpoints whose remote loads are zero.
+// addTo adds the loads of all messages to endpoints whose sums are zero.
 func (p *peerLoads) addTo(endpoints map[string]*endpoint) {
 	for _, message := range p.messages {
 		message.addTo(endpoints, 1)
 	}
 }
 
-// addTo adds factor times the message's loads to the remote loads of the endpoints.
+// addTo adds factor times the message's loads to the sums of the endpoints.
 func (m *peerMessage) addTo(endpoints map[string]*endpoint, factor int) {
 	for id, load := range m.loads {
 		if e := endpoints[id]; e != nil {
-			e.remoteLoad = e.remoteLoad.plus(load, factor)
+			m.addLoad(e, load, factor)
 		}
 	}
 }
+
+// addLoad adds factor times a load to the sum of an endpoint that the message belongs to.
+func (m *peerMessage) addLoad(e *endpoint, load Load, factor int) {
+	if m.isSummary {
+		e.summarizedLoad = e.summarizedLoad.plus(load, factor)
+	} else {
+		e.peerLoad = e.peerLoad.plus(load, factor)
+	}
+}
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -61,7 +61,7 @@
 			e = newEndpoint(r)
 		}
 		e.Endpoint = r
-		e.remoteLoad = Load{}
+		e.peerLoad, e.summarizedLoad = Load{}, Load{}
 		p.endpoints[r.ID] = e
 		s := p.getOrCreateService(r.Service)
 		s.endpoints = append(s.endpoints, e)
@@ -284,8 +284,12 @@
 // DataCentreLoads returns the loads of all instances of the own data centre at each
 // endpoint that they use, by endpoint ID, as far as this instance knows them.
 func (p *Placer) DataCentreLoads() map[string]Load {
-	loads := p.LocalLoads()
-	p.peerLoads.addUnsummarizedTo(loads)
+	loads := map[string]Load{}
+	for id, e := range p.endpoints {
+		if load := e.dataCentreLoad(); load != (Load{}) {
+			loads[id] = load
+		}
+	}
 
 	return loads
 }
