throttler: Lend by the limit that a borrower knows, use the usual terms

Cause, found while reading the change again: a home that had no record of an endpoint's limit lent a permit to every request, as if the limit had ended. The dispatcher recorded the borrower's statement before, but not for an endpoint whose registration the home had not read yet. Change: the borrower's statement is part of the request for a permit, and a home lends none of an endpoint that it does not know. 'Ask' is 'request' in names, log lines and docs. TestHomeKeepsALimitThatOnlyTheBorrowerKnows holds it.

--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -11,26 +11,29 @@
 )
 
 const (
-	// maxPermitAsks is the number of homes that are asked for one attempt of a request.
-	// Each ask takes a round trip.
-	maxPermitAsks = 2
+	// maxPermitRequests is the number of permits that are requested from other instances for
+	// one attempt. Each takes a round trip.
+	maxPermitRequests = 2
 	// permitTimeout limits the wait for a home's reply.
 	permitTimeout = 150 * time.Millisecond
+	// unregisteredWait is how long a peer waits that requests a permit of an endpoint whose
+	// registration has not been read here yet.
+	unregisteredWait = time.Second
 )
 
-// PermitAsk is what an instance asks the home of a limited endpoint.
-type PermitAsk struct {
-	// Statement is what the asking instance knows of the limit.
+// PermitRequest is an instance's request for a permit of a limited endpoint.
+type PermitRequest struct {
+	// Statement is what the instance knows of the limit.
 	Statement throttler.Statement
 	// Tier is the tier of the request that needs the permit.
 	Tier int
 }
 
-// PermitSource passes asks for permits on to the homes of endpoints.
+// PermitSource gets permits from the homes of endpoints.
 type PermitSource interface {
-	// AskForPermit asks the instance of the given name. It returns an error if there is no
-	// reply before ctx ends.
-	AskForPermit(ctx context.Context, home string, ask PermitAsk) (throttler.Reply, error)
+	// RequestPermit requests a permit from the instance of the given name. It returns an
+	// error if there is no reply before ctx ends.
+	RequestPermit(ctx context.Context, home string, request PermitRequest) (throttler.Reply, error)
 }
 
 // SetPermitSource sets the source of permits for endpoints whose home is another instance.
@@ -39,40 +42,41 @@
 	d.permitSource = source
 }
 
-// permitNeed is an ask that has to be made before a placement.
+// permitNeed is a permit that has to be requested before a placement.
 type permitNeed struct {
-	home string
-	ask  PermitAsk
+	home    string
+	request PermitRequest
 }
 
-// errNoPermitSource means that no other instance can be asked.
+// errNoPermitSource means that no other instance can lend a permit.
 var errNoPermitSource = errors.New("no source of permits")
 
-// askHome asks the home. It may take up to permitTimeout, even if the caller of the request
-// has disconnected, so that the reply is not lost for other requests.
-func (d *Dispatcher) askHome(ctx context.Context, need *permitNeed) (throttler.Reply, error) {
+// requestPermit requests a permit. It may take up to permitTimeout, even if the caller has
+// disconnected, so that the reply is not lost for other requests.
+func (d *Dispatcher) requestPermit(ctx context.Context, need *permitNeed) (throttler.Reply, error) {
 	if d.permitSource == nil {
 		return throttler.Reply{}, errNoPermitSource
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), permitTimeout)
 	defer cancel()
 
-	return d.permitSource.AskForPermit(ctx, need.home, need.ask)
+	return d.permitSource.RequestPermit(ctx, need.home, need.request)
 }
 
 // recordReply records a home's reply and logs it.
 func (d *Dispatcher) recordReply(need *permitNeed, reply throttler.Reply, err error) {
-	endpoint := need.ask.Statement.Endpoint
-	d.throttler.RecordReply(d.clock.Now(), endpoint, need.ask.Tier, reply, err == nil)
+	endpoint := need.request.Statement.Endpoint
+	d.throttler.RecordReply(d.clock.Now(), endpoint, need.request.Tier, reply, err == nil)
 	cause := ""
 	if err != nil {
 		cause = err.Error()
 	}
-	d.logger.Info("Asked for a permit.", "endpoint", endpoint, "limit", need.ask.Statement.Limit.Rate, "home", need.home,
-		"tier", need.ask.Tier, "permits", reply.Permits, "wait ms", reply.Wait.Milliseconds(), "error", cause)
+	d.logger.Info("Requested a permit.", "endpoint", endpoint, "limit", need.request.Statement.Limit.Rate, "home", need.home,
+		"tier", need.request.Tier, "permits", reply.Permits, "wait ms", reply.Wait.Milliseconds(), "error", cause)
 }
 
-// CanPlace reports whether an endpoint may get the request now without an ask for a permit.
+// CanPlace reports whether an endpoint may get the request now without a request for
+// a permit.
 func (d *Dispatcher) CanPlace(request placer.Request) (ok bool) {
 	d.runAndWait(func() {
 		now := d.clock.Now()
@@ -83,16 +87,19 @@
 	return ok
 }
 
-// Lend answers a peer's ask for a permit.
-func (d *Dispatcher) Lend(ask PermitAsk) (reply throttler.Reply) {
+// Lend answers a peer's request for a permit. It lends none of an endpoint that is not
+// registered here.
+func (d *Dispatcher) Lend(request PermitRequest) (reply throttler.Reply) {
 	d.runAndWait(func() {
-		now := d.clock.Now()
-		endpoint := ask.Statement.Endpoint
-		// What the peer knows counts only if it is new here: its age is not exact.
-		if known, ok := d.throttler.Statement(endpoint); !ok || !known.Limit.IsStated {
-			d.receiveStatements(now, []throttler.Statement{ask.Statement})
+		endpoint := request.Statement.Endpoint
+		if !d.placer.HasEndpoint(endpoint) {
+			reply.Wait = unregisteredWait
+
+			return
 		}
-		reply = d.throttler.Lend(now, endpoint, ask.Tier)
+		before, _ := d.throttler.Statement(endpoint)
+		reply = d.throttler.Lend(d.clock.Now(), request.Statement, request.Tier)
+		d.logLimitChange(endpoint, before, "borrower")
 	})
 
 	return reply
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -34,13 +34,13 @@
 		}
 		placement, need, ok = d.tryToPlace(request, true)
 	})
-	for asks := 1; need != nil; asks++ {
-		asked := need
-		reply, err := d.askHome(ctx, asked)
+	for requests := 1; need != nil; requests++ {
+		requested := need
+		reply, err := d.requestPermit(ctx, requested)
 		placement, need, ok = Placement{}, nil, false
 		d.runAndWait(func() {
-			d.recordReply(asked, reply, err)
-			placement, need, ok = d.tryToPlace(request, asks < maxPermitAsks)
+			d.recordReply(requested, reply, err)
+			placement, need, ok = d.tryToPlace(request, requests < maxPermitRequests)
 		})
 	}
 
@@ -48,12 +48,12 @@
 }
 
 // tryToPlace chooses an endpoint and counts the request there. If a permit is needed from
-// another instance, it returns that need instead. If mayAsk is false, it chooses only
+// another instance, it returns that need instead. If mayRequest is false, it chooses only
 // endpoints that need none.
-func (d *Dispatcher) tryToPlace(request placer.Request, mayAsk bool) (placement Placement, need *permitNeed, ok bool) {
+func (d *Dispatcher) tryToPlace(request placer.Request, mayRequest bool) (placement Placement, need *permitNeed, ok bool) {
 	now := d.clock.Now()
 	for {
-		request.Blocked = d.throttler.Blocked(now, request.Tier, mayAsk)
+		request.Blocked = d.throttler.Blocked(now, request.Tier, mayRequest)
 		placement.Choice, ok = d.placer.Pick(now, request)
 		if !ok {
 			if until := d.placer.BlockedUntil(request); !until.IsZero() {
@@ -68,10 +68,10 @@
 			return placement, nil, true
 		}
 		switch action, home := d.throttler.Take(now, placement.EndpointID, request.Tier); action {
-		case throttler.Ask:
+		case throttler.RequestPermit:
 			statement, _ := d.throttler.Statement(placement.EndpointID)
 
-			return placement, &permitNeed{home: home, ask: PermitAsk{Statement: statement, Tier: request.Tier}}, false
+			return placement, &permitNeed{home: home, request: PermitRequest{Statement: statement, Tier: request.Tier}}, false
 		case throttler.Send:
 			d.lastAttemptID++
 			placement.attemptID = d.lastAttemptID
--- a/internal/gossiper/gossipwire/gossip.twirp.go
+++ b/internal/gossiper/gossipwire/gossip.twirp.go
@@ -40,7 +40,7 @@
 	// Fetch returns what the receiver last read from the platform, or was told.
 	Fetch(context.Context, *FetchRequest) (*FetchReply, error)
 
-	// Permit asks the receiver, an endpoint's home, for permits to send requests there.
+	// Permit returns permits of an endpoint whose home is the receiver.
 	Permit(context.Context, *PermitRequest) (*PermitReply, error)
 }
 
--- a/internal/gossiper/permit.go
+++ b/internal/gossiper/permit.go
@@ -11,21 +11,21 @@
 	"github.com/oleanderpick/oleanderpick/pkg/throttler"
 )
 
-// AskForPermit asks the home of a limited endpoint for permits. It implements
+// RequestPermit requests permits from the home of a limited endpoint. It implements
 // dispatcher.PermitSource.
-func (g *Gossiper) AskForPermit(ctx context.Context, home string, ask dispatcher.PermitAsk) (throttler.Reply, error) {
+func (g *Gossiper) RequestPermit(ctx context.Context, home string, request dispatcher.PermitRequest) (throttler.Reply, error) {
 	address := g.addressOf(home)
 	if address == "" {
 		return throttler.Reply{}, errors.Errorf("address of instance %q is unknown", home)
 	}
 	reply, err := gossipwire.NewGossipProtobufClient("http://"+address, g.client).Permit(ctx, &gossipwire.PermitRequest{
-		Tier: uint32(max(0, ask.Tier)), Limit: encodeLimit(time.Now(), ask.Statement),
+		Tier: uint32(max(0, request.Tier)), Limit: encodeLimit(time.Now(), request.Statement),
 	})
 	if err != nil {
 		g.meter.Add("permits.unanswered", 1)
 		g.client.CloseIdleConnections()
 
-		return throttler.Reply{}, errors.Wrapf(err, "ask %s for a permit", home)
+		return throttler.Reply{}, errors.Wrapf(err, "request a permit from %s", home)
 	}
 	name := "permits.granted"
 	if reply.GetPermits() == 0 {
@@ -54,9 +54,9 @@
 	return latest.address
 }
 
-// Permit answers a peer's ask for permits.
+// Permit answers a peer's request for permits.
 func (s *gossipServer) Permit(_ context.Context, request *gossipwire.PermitRequest) (*gossipwire.PermitReply, error) {
-	reply := s.gossiper.dispatcher.Lend(dispatcher.PermitAsk{
+	reply := s.gossiper.dispatcher.Lend(dispatcher.PermitRequest{
 		Statement: decodeLimit(time.Now(), request.GetLimit()), Tier: int(request.GetTier()),
 	})
 
--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -34,7 +34,7 @@
 	request   *relayedRequest
 	ctx       context.Context // of the attempt
 	placement dispatcher.Placement
-	repeat    placer.Request         // what another attempt would ask the placer for
+	repeat    placer.Request         // the placement of another attempt
 	history   retrier.AttemptHistory // the attempts so far and this one, counted as run
 	cancel    context.CancelCauseFunc
 	timer     *time.Timer
--- a/pkg/throttler/fault_test.go
+++ b/pkg/throttler/fault_test.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// gossip lets each instance ask one other for its statements.
+// gossip lets each instance fetch the statements of one other.
 func (f *faultyFleet) gossip() {
 	for _, m := range f.machines {
 		other := f.machines[f.random.IntN(len(f.machines))]
@@ -188,21 +188,22 @@
 	}
 }
 
-// mayUse asks for a permit. Asks of machines that cannot reach each other, and one in a
-// hundred of the others, get no reply.
+// mayUse gets a permit if one is needed. Between machines that cannot reach each other all
+// messages are lost, between others one in a hundred.
 func (f *faultyFleet) mayUse(m *machine, tier int) bool {
 	if _, blocked := m.throttler.Blocked(f.now, tier, true)[endpointID]; blocked {
 		return false
 	}
 	action, home := m.throttler.Take(f.now, endpointID, tier)
-	if action != throttler.Ask {
+	if action != throttler.RequestPermit {
 		return action == throttler.Send
 	}
 	var reply throttler.Reply
 	isAnswered := false
 	for _, other := range f.machines {
 		if other.name == home && other.isVisible() && m.isVisible() && f.random.Float64() >= lossRate {
-			reply = other.throttler.Lend(f.now, endpointID, tier)
+			statement, _ := m.throttler.Statement(endpointID)
+			reply = other.throttler.Lend(f.now, statement, tier)
 			isAnswered = f.random.Float64() >= lossRate
 		}
 	}
--- a/pkg/throttler/home.go
+++ b/pkg/throttler/home.go
@@ -7,11 +7,11 @@
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 )
 
-// Reply is a home's answer to an ask.
+// Reply is a home's reply to a request for a permit.
 type Reply struct {
-	// Permits is the number of requests that may be sent; 0 if the ask is denied.
+	// Permits is the number of requests that may be sent; 0 if none is lent.
 	Permits int
-	// Wait is the time after which a denied request of the same tier may ask again.
+	// Wait is the time after which a permit for the same tier may be requested again.
 	Wait time.Duration
 }
 
@@ -19,18 +19,18 @@
 	// takeoverDelay is how long an instance that has become a home lends nothing, in
 	// which the others notice and the permits of the previous home expire.
 	takeoverDelay = 2 * time.Second
-	// burstTime sets the permits that a home saves up for asks at the same time: those of
-	// this time, but at least minBurst.
+	// burstTime sets the permits that a home saves up for requests at the same time:
+	// those of this time, but at least minBurst.
 	burstTime = 250 * time.Millisecond
 	minBurst  = 2.0
-	// demandTimeConstant is the time constant with which asks are forgotten.
+	// demandTimeConstant is the time constant with which demand is forgotten.
 	demandTimeConstant = time.Second
-	// asksPerPermit is the number of asks for each permit above which denied instances
-	// wait longer, so that the asks do not grow with the fleet.
-	asksPerPermit = 4
+	// highDemandRatio is the demand, as a multiple of the limit, above which denied
+	// instances wait longer, so that their messages do not grow with the fleet.
+	highDemandRatio = 4
 	// maxPermits is the largest number of permits lent at once.
 	maxPermits = 16
-	// lowestWait and longestWait bound the wait of a denied request.
+	// lowestWait and longestWait bound the wait of a denied instance.
 	lowestWait  = 20 * time.Millisecond
 	longestWait = 2 * time.Second
 )
@@ -45,11 +45,17 @@
 	return r.tokens >= 1
 }
 
-// Lend answers an ask for a permit for a request of a tier.
-func (t *Throttler) Lend(now time.Time, endpoint string, tier int) Reply {
-	r := t.records[endpoint]
+// Lend lends permits for requests of a tier to an endpoint, as far as the limit allows. The
+// borrower's statement of the limit counts only if none is in force here: its age is not
+// exact.
+func (t *Throttler) Lend(now time.Time, borrowers Statement, tier int) Reply {
+	r := t.records[borrowers.Endpoint]
+	if r == nil || !r.limit.IsStated {
+		t.ReceiveStatements(now, []Statement{borrowers})
+		r = t.records[borrowers.Endpoint]
+	}
 	switch {
-	case r == nil || !r.limit.IsStated:
+	case r == nil || !r.limit.IsStated: // The limit has ended.
 		return Reply{Permits: 1}
 	case r.home != t.instanceName:
 		return Reply{Wait: unansweredWait}
@@ -59,10 +65,10 @@
 	r.refill(now)
 	tier = clampTier(tier)
 	r.demand[tier]++
-	// Lower tiers leave the saved permits to higher ones, as far as these ask for them.
+	// Lower tiers leave the saved permits to higher ones, as far as these demand them.
 	needed := min(r.burst(), 1+(r.burst()-1)*r.demandRatio(tier))
 	if r.tokens < needed {
-		wait := (needed - r.tokens) / r.rate() * max(1, r.demandRatio(placer.TierCount)/asksPerPermit)
+		wait := (needed - r.tokens) / r.rate() * max(1, r.demandRatio(placer.TierCount)/highDemandRatio)
 
 		return Reply{Wait: time.Duration(min(max(wait, lowestWait.Seconds()), longestWait.Seconds()) * float64(time.Second))}
 	}
@@ -77,8 +83,8 @@
 	return max(r.limit.Rate, lowestRate)
 }
 
-// demandRatio returns the rate of the asks of all tiers above the given one, as a multiple
-// of the limit.
+// demandRatio returns the demand of all tiers above the given one, as a multiple of the
+// limit.
 func (r *record) demandRatio(tier int) float64 {
 	demand := 0.0
 	for i := range tier {
@@ -93,7 +99,7 @@
 	return max(minBurst, r.rate()*burstTime.Seconds())
 }
 
-// refill adds the permits for the time since the last refill and forgets older asks.
+// refill adds the permits for the time since the last refill and decays the demand.
 func (r *record) refill(now time.Time) {
 	elapsed := now.Sub(r.refilledAt)
 	if elapsed <= 0 {
--- /dev/null
+++ b/pkg/throttler/home_test.go
@@ -0,0 +1,54 @@
+package throttler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderpick/oleanderpick/pkg/throttler"
+)
+
+// Guards against a home that lends without bound, because it has not heard of a limit that
+// the borrower knows.
+func TestHomeKeepsALimitThatOnlyTheBorrowerKnows(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start.Add(time.Minute)
+	home := throttler.New(start, "home")
+	statement := throttler.Statement{Endpoint: endpointID, Limit: throttler.Limit{IsStated: true, Rate: 1}, MadeAt: now}
+	assert.Equal(t, home.Lend(now, statement, 0).Permits, 1)
+	denied := home.Lend(now, statement, 0)
+	assert.Assert(t, denied.Permits == 0 && denied.Wait > 0, "%+v", denied)
+}
+
+// Guards against two homes at once: an instance that has become a home lends nothing until
+// the others have had time to notice.
+func TestNewHomeLendsNothingAtFirst(t *testing.T) {
+	start := time.Unix(1000, 0)
+	home := throttler.New(start, "home")
+	statement := throttler.Statement{Endpoint: endpointID, Limit: throttler.Limit{IsStated: true, Rate: 10}, MadeAt: start}
+	for elapsed := time.Duration(0); elapsed < 2*time.Second; elapsed += 100 * time.Millisecond {
+		assert.Equal(t, home.Lend(start.Add(elapsed), statement, 0).Permits, 0, "after %v", elapsed)
+	}
+	assert.Equal(t, home.Lend(start.Add(2100*time.Millisecond), statement, 0).Permits, 1)
+}
+
+// Guards against a limit that ends for good by an answer to a request that was sent before
+// the limit was last stated.
+func TestLimitEndsOnlyByALaterRequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := throttler.Limit{IsStated: true, Rate: 1}
+	instance := throttler.New(now, "a")
+	instance.RecordAnswer(now, now.Add(-time.Second), endpointID, limit)
+	instance.RecordAnswer(now.Add(time.Second), now.Add(-time.Millisecond), endpointID, throttler.Limit{})
+	known, _ := instance.Statement(endpointID)
+	assert.Equal(t, known.Limit, limit)
+	instance.RecordAnswer(now.Add(time.Second), now.Add(time.Millisecond), endpointID, throttler.Limit{})
+	known, _ = instance.Statement(endpointID)
+	assert.Assert(t, !known.Limit.IsStated)
+
+	// A peer's older statement does not bring the limit back.
+	instance.ReceiveStatements(now.Add(2*time.Second), []throttler.Statement{{Endpoint: endpointID, Limit: limit, MadeAt: now}})
+	known, _ = instance.Statement(endpointID)
+	assert.Assert(t, !known.Limit.IsStated)
+}
--- a/pkg/throttler/sharing_test.go
+++ b/pkg/throttler/sharing_test.go
@@ -197,7 +197,7 @@
 	return true
 }
 
-// lending asks the endpoint's home for permits. Messages arrive at once or are lost.
+// lending gets permits from the endpoint's home. Messages arrive at once or are lost.
 type lending struct {
 	throttlers   map[string]*throttler.Throttler
 	names        []string
@@ -230,14 +230,15 @@
 		return false
 	}
 	action, home := t.Take(now, endpointID, tier)
-	if action != throttler.Ask {
+	if action != throttler.RequestPermit {
 		return action == throttler.Send
 	}
 	w.messageCount += 2
 	var reply throttler.Reply
 	isAnswered := w.throttlers[home] != nil && w.random.Float64() >= lossRate
 	if isAnswered {
-		reply = w.throttlers[home].Lend(now, endpointID, tier)
+		statement, _ := t.Statement(endpointID)
+		reply = w.throttlers[home].Lend(now, statement, tier)
 		isAnswered = w.random.Float64() >= lossRate
 	}
 	t.RecordReply(now, endpointID, tier, reply, isAnswered)
--- a/pkg/throttler/statement.go
+++ b/pkg/throttler/statement.go
@@ -98,8 +98,7 @@
 	}
 	statements := make([]Statement, 0, len(endpoints))
 	for _, endpoint := range endpoints {
-		r := t.records[endpoint]
-		statements = append(statements, Statement{Endpoint: endpoint, Limit: r.limit, MadeAt: r.madeAt})
+		statements = append(statements, t.records[endpoint].statement(endpoint))
 	}
 
 	return statements
@@ -113,5 +112,10 @@
 		return Statement{}, false
 	}
 
-	return Statement{Endpoint: endpoint, Limit: r.limit, MadeAt: r.madeAt}, true
+	return r.statement(endpoint), true
+}
+
+// statement returns what the record of an endpoint says of its limit.
+func (r *record) statement(endpoint string) Statement {
+	return Statement{Endpoint: endpoint, Limit: r.limit, MadeAt: r.madeAt}
 }
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -30,12 +30,12 @@
 	// The permits that this instance lends, if it is the home.
 	tokens     float64
 	refilledAt time.Time
-	demand     [placer.TierCount]float64 // recent asks by tier, which decay
+	demand     [placer.TierCount]float64 // recent requests for permits by tier, which decay
 
 	// What this instance has borrowed.
 	permits         int
 	permitsExpireAt time.Time
-	isAsking        bool
+	isRequesting    bool                        // a request for a permit is in progress
 	blockedUntil    [placer.TierCount]time.Time // by tier
 }
 
@@ -91,24 +91,24 @@
 const (
 	// Send means that the request may be sent now.
 	Send Action = iota
-	// Ask means that the endpoint's home must be asked for a permit, and the answer
-	// passed to RecordReply.
-	Ask
+	// RequestPermit means that a permit must be requested from the endpoint's home, and the
+	// reply passed to RecordReply.
+	RequestPermit
 	// Avoid means that the request may not go to this endpoint now.
 	Avoid
 )
 
 // Blocked returns the endpoints that a request of a tier may not go to now; nil if there
-// are none. The values are the times from which on it may be tried again. If mayAsk is
-// false, endpoints whose home must be asked or has no permit are blocked too.
-func (t *Throttler) Blocked(now time.Time, tier int, mayAsk bool) map[string]time.Time {
+// are none. The values are the times from which on it may be tried again. If mayRequest is
+// false, endpoints are blocked too if a permit must be requested first.
+func (t *Throttler) Blocked(now time.Time, tier int, mayRequest bool) map[string]time.Time {
 	var blocked map[string]time.Time
 	for endpoint, r := range t.records {
 		if !r.limit.IsStated || r.hasPermit(now) {
 			continue
 		}
 		until := r.blockedUntil[clampTier(tier)]
-		if r.isAsking || (!mayAsk && !t.canLend(now, r)) {
+		if r.isRequesting || (!mayRequest && !t.canLend(now, r)) {
 			until = maxTime(until, now.Add(lowestWait))
 		}
 		if until.After(now) {
@@ -123,7 +123,8 @@
 }
 
 // Take decides whether a request of a tier may be sent to an endpoint now, and takes a
-// permit if it needs one. If the action is Ask, home is the instance to ask.
+// permit if it needs one. If the action is RequestPermit, home is the instance to request
+// it from.
 func (t *Throttler) Take(now time.Time, endpoint string, tier int) (action Action, home string) {
 	r := t.records[endpoint]
 	switch {
@@ -134,7 +135,7 @@
 
 		return Send, ""
 	case r.home == t.instanceName:
-		t.RecordReply(now, endpoint, tier, t.Lend(now, endpoint, tier), true)
+		t.RecordReply(now, endpoint, tier, t.Lend(now, r.statement(endpoint), tier), true)
 		if r.hasPermit(now) {
 			r.permits--
 
@@ -143,19 +144,18 @@
 
 		return Avoid, ""
 	}
-	r.isAsking = true
+	r.isRequesting = true
 
-	return Ask, r.home
+	return RequestPermit, r.home
 }
 
-// RecordReply records the answer of an endpoint's home to an ask; isAnswered is false if
-// there was none.
+// RecordReply records the reply of an endpoint's home; isAnswered is false if there was none.
 func (t *Throttler) RecordReply(now time.Time, endpoint string, tier int, reply Reply, isAnswered bool) {
 	r := t.records[endpoint]
 	if r == nil {
 		return
 	}
-	r.isAsking = false
+	r.isRequesting = false
 	if reply.Permits > 0 {
 		r.permits, r.permitsExpireAt = reply.Permits, now.Add(permitLifetime)
 
