throttler: Tell refused callers a likelier time to return

An endpoint whose permit may not be requested any more for an attempt counted as open again after 20 ms, the time of a round trip, and that became the Retry-After of a request that all endpoints refused. It is half a second now.

--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -29,7 +29,8 @@
 
 // stallDetector cancels a repeatable attempt whose endpoint sends nothing. It first
 // takes a repeat from the repeat limiter and checks that the endpoints' limits leave room,
-// so that an attempt is only canceled if another one may follow. A nil stallDetector does nothing.
+// so that an attempt is only canceled if another one may follow. A nil stallDetector does
+// nothing.
 type stallDetector struct {
 	request   *relayedRequest
 	ctx       context.Context // of the attempt
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -44,6 +44,9 @@
 	permitLifetime = 300 * time.Millisecond
 	// unansweredWait is how long an endpoint whose home does not answer is not used.
 	unansweredWait = 500 * time.Millisecond
+	// unrequestedWait is the assumed time until an endpoint has a permit if none may be
+	// requested.
+	unrequestedWait = 500 * time.Millisecond
 )
 
 // New returns the throttler of the named instance, which starts now and is the only live
@@ -108,8 +111,11 @@
 			continue
 		}
 		until := r.blockedUntil[clampTier(tier)]
-		if r.isRequesting || (!mayRequest && !t.canLend(now, r)) {
+		switch {
+		case r.isRequesting:
 			until = maxTime(until, now.Add(lowestWait))
+		case !mayRequest && !t.canLend(now, r):
+			until = maxTime(until, now.Add(unrequestedWait))
 		}
 		if until.After(now) {
 			if blocked == nil {
