relayer: End a limit only by an answer that served a request

Cause: any answer without the limit ended it, also an endpoint's refusal or failure, which may not have the headers of its answers. Then every instance sends as it likes until the limit is stated again. Change: only a 2xx answer ends it. TestLimitOutlastsRefusalsAndFailuresWithoutIt: 90 requests in four seconds before, where 8 may arrive.

--- a/internal/relayer/limit_test.go
+++ b/internal/relayer/limit_test.go
@@ -100,6 +100,34 @@
 	})
 }
 
+// Guards against a limit that ends because a refusal or failure does not state it.
+func TestLimitOutlastsRefusalsAndFailuresWithoutIt(t *testing.T) {
+	for name, failure := range map[string]http.HandlerFunc{
+		"refusal": respondWithStatus(http.StatusServiceUnavailable, true),
+		"failure": respondWithStatus(http.StatusInternalServerError, false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithHarness(t, func(t *testing.T, h *harness) {
+				var isLimited, isFailing atomic.Bool
+				isLimited.Store(true)
+				serve := respondWithLimit("0.5", &isLimited)
+				h.serveEndpoints(func(w http.ResponseWriter, request *http.Request) {
+					if isFailing.Load() {
+						failure(w, request)
+					} else {
+						serve(w, request)
+					}
+				})
+				h.sendEvery(100*time.Millisecond, 4*time.Second)
+				isFailing.Store(true)
+				before := h.arrivalCount()
+				h.sendEvery(100*time.Millisecond, 4*time.Second)
+				assert.Assert(t, h.arrivalCount()-before <= 8, "%d requests", h.arrivalCount()-before)
+			})
+		})
+	}
+}
+
 // Repeats count like first attempts: endpoints that fail each request get no more than
 // their limits.
 func TestRepeatsCountAgainstTheLimit(t *testing.T) {
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -46,9 +46,11 @@
 }
 
 // recordLimit records what an answer says of its endpoint's limit. A limit that cannot be
-// read leaves the one before in force.
+// read leaves the one before in force, and so does a refusal or failure that states none:
+// only a served request shows that the endpoint needs none any more.
 func (r *relayedRequest) recordLimit(a *attempt, metadata ResponseMetadata) {
-	if metadata.HasInvalidRateLimit || (metadata.RateLimit == nil && !r.relayer.dispatcher.HasLimits()) {
+	mayEndLimit := a.response.StatusCode/100 == 2 && r.relayer.dispatcher.HasLimits()
+	if metadata.HasInvalidRateLimit || (metadata.RateLimit == nil && !mayEndLimit) {
 		return
 	}
 	var limit throttler.Limit
