throttler: Let several requests of an instance get permits at once

Cause: while one request waited for its permit, the endpoint counted as absent for the others of the instance. Where all endpoints are limited these were refused, whatever room there was. Change: up to four requests for permits of an endpoint at the same time. TestSeveralRequestsGetPermitsAtTheSameTime failed before.

--- a/pkg/throttler/home_test.go
+++ b/pkg/throttler/home_test.go
@@ -52,3 +52,28 @@
 	known, _ = instance.Statement(endpointID)
 	assert.Assert(t, !known.Limit.IsStated)
 }
+
+// Guards against requests that are refused because another one of the same instance waits
+// for its permit.
+func TestSeveralRequestsGetPermitsAtTheSameTime(t *testing.T) {
+	const concurrent = 3
+	now := time.Unix(1000, 0)
+	borrower := throttler.New(now, "borrower")
+	borrower.SetMembers(now, []string{"home"})
+	borrower.RecordAnswer(now, now, endpointID, throttler.Limit{IsStated: true, Rate: 100})
+	for range concurrent {
+		assert.Equal(t, len(borrower.Blocked(now, 0, true)), 0)
+		action, home := borrower.Take(now, endpointID, 0)
+		assert.Equal(t, action, throttler.RequestPermit)
+		assert.Equal(t, home, "home")
+	}
+	for range concurrent {
+		borrower.RecordReply(now, endpointID, 0, throttler.Reply{Permits: 1}, true)
+	}
+	for range concurrent {
+		action, _ := borrower.Take(now, endpointID, 0)
+		assert.Equal(t, action, throttler.Send)
+	}
+	action, _ := borrower.Take(now, endpointID, 0)
+	assert.Equal(t, action, throttler.RequestPermit)
+}
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -35,7 +35,7 @@
 	// What this instance has borrowed.
 	permits         int
 	permitsExpireAt time.Time
-	isRequesting    bool                        // a request for a permit is in progress
+	openRequests    int                         // requests for permits without a reply
 	blockedUntil    [placer.TierCount]time.Time // by tier
 }
 
@@ -44,6 +44,9 @@
 	permitLifetime = 300 * time.Millisecond
 	// unansweredWait is how long an endpoint whose home does not answer is not used.
 	unansweredWait = 500 * time.Millisecond
+	// maxOpenRequests is the number of requests for permits of one endpoint that an instance
+	// makes at the same time.
+	maxOpenRequests = 4
 	// unrequestedWait is the assumed time until an endpoint has a permit if none may be
 	// requested.
 	unrequestedWait = 500 * time.Millisecond
@@ -112,7 +115,7 @@
 		}
 		until := r.blockedUntil[clampTier(tier)]
 		switch {
-		case r.isRequesting:
+		case r.openRequests >= maxOpenRequests:
 			until = maxTime(until, now.Add(lowestWait))
 		case !mayRequest && !t.canLend(now, r):
 			until = maxTime(until, now.Add(unrequestedWait))
@@ -150,7 +153,7 @@
 
 		return Avoid, ""
 	}
-	r.isRequesting = true
+	r.openRequests++
 
 	return RequestPermit, r.home
 }
@@ -161,9 +164,13 @@
 	if r == nil {
 		return
 	}
-	r.isRequesting = false
+	r.openRequests = max(0, r.openRequests-1)
 	if reply.Permits > 0 {
-		r.permits, r.permitsExpireAt = reply.Permits, now.Add(permitLifetime)
+		if !r.hasPermit(now) {
+			r.permits = 0
+		}
+		r.permits += reply.Permits
+		r.permitsExpireAt = now.Add(permitLifetime)
 
 		return
 	}
