throttler, gossiper, docs: Clearer names after reading the change again

No change of behaviour: a parameter and two variables are renamed, the fault test uses the word instance, comments say which instances are members.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -239,7 +239,7 @@
 func (g *Gossiper) exchangeWith(ctx context.Context, p *peer) {
 	ctx, cancel := context.WithTimeout(ctx, g.settings.ExchangeTimeout)
 	defer cancel()
-	sentAt, sentAtTime := g.dispatcher.SinceBoot(), time.Now()
+	sentSinceBoot, sentAt := g.dispatcher.SinceBoot(), time.Now()
 	reply, err := gossipwire.NewGossipProtobufClient("http://"+p.address, g.client).Exchange(ctx, g.buildMessage(p.address, 0, p.sendLoads))
 	g.mu.Lock()
 	p.exchanging = false
@@ -252,8 +252,8 @@
 	}
 	g.meter.Add("gossip.told", 1)
 	if g.receiveMessage(reply) {
-		g.dispatcher.ReceiveLimits(decodeLimits(sentAtTime, reply.GetLimits()))
-		g.fetchFromPeer(ctx, p.address, g.dispatcher.ReceiveVersions(sentAt, decodeMessage(reply).Versions))
+		g.dispatcher.ReceiveLimits(decodeLimits(sentAt, reply.GetLimits()))
+		g.fetchFromPeer(ctx, p.address, g.dispatcher.ReceiveVersions(sentSinceBoot, decodeMessage(reply).Versions))
 	}
 }
 
--- a/pkg/throttler/fault_test.go
+++ b/pkg/throttler/fault_test.go
@@ -17,17 +17,17 @@
 func init() { _ = flag.Set("rapid.seed", "20261204") }
 
 // faultyFleet is a fleet whose instances restart, leave, are cut off, and learn of all that
-// late. Times are in steps.
+// late.
 type faultyFleet struct {
-	random   *rand.Rand
-	now      time.Time
-	limit    float64
-	machines []*machine
-	arrivals []time.Time // of requests from instances that were told and that nothing excuses
+	random    *rand.Rand
+	now       time.Time
+	limit     float64
+	instances []*simulatedInstance
+	arrivals  []time.Time // of requests from instances that were told and that nothing excuses
 }
 
-// machine is an instance and what happens to it.
-type machine struct {
+// simulatedInstance is an instance and what happens to it.
+type simulatedInstance struct {
 	name       string
 	throttler  *throttler.Throttler
 	isDown     bool
@@ -58,12 +58,12 @@
 	pauseTime      = 5 * time.Second        // without requests, after as long with requests
 )
 
-func newFaultyFleet(random *rand.Rand, instances int, limit float64) *faultyFleet {
+func newFaultyFleet(random *rand.Rand, count int, limit float64) *faultyFleet {
 	f := &faultyFleet{random: random, now: time.Unix(1000, 0), limit: limit}
-	for i := range instances {
-		f.machines = append(f.machines, &machine{name: fmt.Sprintf("i%02d", i)})
+	for i := range count {
+		f.instances = append(f.instances, &simulatedInstance{name: fmt.Sprintf("i%02d", i)})
 	}
-	for _, m := range f.machines {
+	for _, m := range f.instances {
 		f.start(m)
 	}
 
@@ -71,16 +71,16 @@
 }
 
 // start starts an instance that knows nothing.
-func (f *faultyFleet) start(m *machine) {
-	*m = machine{name: m.name, throttler: throttler.New(f.now, m.name), disturbed: f.now, views: map[string]*memberView{}}
+func (f *faultyFleet) start(m *simulatedInstance) {
+	*m = simulatedInstance{name: m.name, throttler: throttler.New(f.now, m.name), disturbed: f.now, views: map[string]*memberView{}}
 }
 
-// isVisible reports whether others can hear from the machine.
-func (m *machine) isVisible() bool { return !m.isDown && !m.isCut }
+// isVisible reports whether others can hear from the instance.
+func (m *simulatedInstance) isVisible() bool { return !m.isDown && !m.isCut }
 
 // updateViews lets each instance notice changes of the members after a random lag.
 func (f *faultyFleet) updateViews() {
-	for _, m := range f.machines {
+	for _, m := range f.instances {
 		if m.isDown {
 			continue
 		}
@@ -88,7 +88,7 @@
 		if !m.isLeaving {
 			members = append(members, m.name)
 		}
-		for _, other := range f.machines {
+		for _, other := range f.instances {
 			if other == m {
 				continue
 			}
@@ -117,8 +117,8 @@
 
 // gossip lets each instance fetch the statements of one other.
 func (f *faultyFleet) gossip() {
-	for _, m := range f.machines {
-		other := f.machines[f.random.IntN(len(f.machines))]
+	for _, m := range f.instances {
+		other := f.instances[f.random.IntN(len(f.instances))]
 		if m.isVisible() && other.isVisible() && other != m && f.now.Sub(m.lastGossip) >= gossipInterval {
 			m.lastGossip = f.now
 			m.throttler.ReceiveStatements(f.now, other.throttler.Statements(f.now))
@@ -126,10 +126,10 @@
 	}
 }
 
-// injectFault restarts, stops or cuts off a machine, or ends such a state. Every other
+// injectFault restarts, stops or cuts off an instance, or ends such a state. Every other
 // fault hits the endpoint's home, if there is one.
 func (f *faultyFleet) injectFault() {
-	m := f.machines[f.random.IntN(len(f.machines))]
+	m := f.instances[f.random.IntN(len(f.instances))]
 	if f.random.IntN(2) == 0 {
 		m = f.home(m)
 	}
@@ -154,17 +154,17 @@
 	}
 }
 
-// home returns the home of the endpoint among the machines that are members; the given
-// machine if there are none.
-func (f *faultyFleet) home(fallback *machine) *machine {
+// home returns the home of the endpoint among the instances that are members; the given
+// one if there are none.
+func (f *faultyFleet) home(fallback *simulatedInstance) *simulatedInstance {
 	var members []string
-	for _, m := range f.machines {
+	for _, m := range f.instances {
 		if m.isVisible() && !m.isLeaving {
 			members = append(members, m.name)
 		}
 	}
 	name := granter.HomeOf(endpointID, members)
-	for _, m := range f.machines {
+	for _, m := range f.instances {
 		if m.name == name {
 			return m
 		}
@@ -174,7 +174,7 @@
 }
 
 // send sends a request to the endpoint if the instance may, and records the answer.
-func (f *faultyFleet) send(m *machine, tier int) {
+func (f *faultyFleet) send(m *simulatedInstance, tier int) {
 	if m.isDown || !f.mayUse(m, tier) {
 		return
 	}
@@ -188,9 +188,9 @@
 	}
 }
 
-// mayUse gets a permit if one is needed. Between machines that cannot reach each other all
+// mayUse gets a permit if one is needed. Between instances that cannot reach each other all
 // messages are lost, between others one in a hundred.
-func (f *faultyFleet) mayUse(m *machine, tier int) bool {
+func (f *faultyFleet) mayUse(m *simulatedInstance, tier int) bool {
 	if _, blocked := m.throttler.Blocked(f.now, tier, true)[endpointID]; blocked {
 		return false
 	}
@@ -200,7 +200,7 @@
 	}
 	var reply throttler.Reply
 	isAnswered := false
-	for _, other := range f.machines {
+	for _, other := range f.instances {
 		if other.name == home && other.isVisible() && m.isVisible() && f.random.Float64() >= lossRate {
 			statement, _ := m.throttler.Statement(endpointID)
 			reply = other.throttler.Lend(f.now, statement, tier)
@@ -236,7 +236,7 @@
 				continue
 			}
 			for range 1 + int(3*limit*step.Seconds()) {
-				f.send(f.machines[f.random.IntN(len(f.machines))], f.random.IntN(3))
+				f.send(f.instances[f.random.IntN(len(f.instances))], f.random.IntN(3))
 			}
 		}
 		arrivals := slices.DeleteFunc(f.arrivals, func(at time.Time) bool { return at.Sub(start) < stableTime })
--- a/pkg/throttler/home.go
+++ b/pkg/throttler/home.go
@@ -45,14 +45,14 @@
 	return r.tokens >= 1
 }
 
-// Lend lends permits for requests of a tier to an endpoint, as far as the limit allows. The
-// borrower's statement of the limit counts only if none is in force here: its age is not
-// exact.
-func (t *Throttler) Lend(now time.Time, borrowers Statement, tier int) Reply {
-	r := t.records[borrowers.Endpoint]
+// Lend lends permits for requests of a tier to an endpoint, as far as the limit allows.
+// statement is what the borrower knows of the limit. It counts only if no limit is in force
+// here, because its age is not exact.
+func (t *Throttler) Lend(now time.Time, statement Statement, tier int) Reply {
+	r := t.records[statement.Endpoint]
 	if r == nil || !r.limit.IsStated {
-		t.ReceiveStatements(now, []Statement{borrowers})
-		r = t.records[borrowers.Endpoint]
+		t.ReceiveStatements(now, []Statement{statement})
+		r = t.records[statement.Endpoint]
 	}
 	switch {
 	case r == nil || !r.limit.IsStated: // The limit has ended.
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -58,7 +58,8 @@
 	return &Throttler{instanceName: instanceName, members: []string{instanceName}, membersChangedAt: now, records: map[string]*record{}}
 }
 
-// SetMembers sets the names of the live instances, this one included, in sorted order.
+// SetMembers sets the names of the live instances that are not leaving, in sorted order.
+// There must be one at least.
 func (t *Throttler) SetMembers(now time.Time, members []string) {
 	if slices.Equal(members, t.members) {
 		return
