relayer, throttler: Join a forwarding function, name things by their terms

finishUnanswered only forwarded to a second function for one caller. Comments and a test type used figurative words. No change of behaviour.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -161,13 +161,7 @@
 
 // finishUnanswered ends a request that no endpoint answered completely: with a kept
 // failure of an endpoint, a refusal of the given kind or a closed connection.
-func (r *relayedRequest) finishUnanswered(ctx context.Context, kind answerer.Kind) {
-	r.finishUnansweredWithRetry(ctx, kind, capacityRetryAfter)
-}
-
-// finishUnansweredWithRetry is finishUnanswered for a refusal that tells the caller when
-// to come back.
-func (r *relayedRequest) finishUnansweredWithRetry(ctx context.Context, kind answerer.Kind, retryAfter time.Duration) {
+func (r *relayedRequest) finishUnanswered(ctx context.Context, kind answerer.Kind, retryAfter time.Duration) {
 	switch {
 	case r.answerStarted:
 		r.abortCallerConnection(errors.New(kind.String()))
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -90,7 +90,7 @@
 	case retryAfter > 0:
 		kind = answerer.KindEndpointsLimited
 	}
-	r.finishUnansweredWithRetry(ctx, kind, max(capacityRetryAfter, retryAfter))
+	r.finishUnanswered(ctx, kind, max(capacityRetryAfter, retryAfter))
 }
 
 // logPostponed logs the placer's estimates by which the request was postponed.
@@ -160,7 +160,7 @@
 	if reason == retrier.ReasonNone {
 		return true
 	}
-	r.finishUnanswered(ctx, r.finalErrorKind(a))
+	r.finishUnanswered(ctx, r.finalErrorKind(a), capacityRetryAfter)
 
 	return false
 }
--- a/pkg/throttler/fault_test.go
+++ b/pkg/throttler/fault_test.go
@@ -23,7 +23,7 @@
 	now       time.Time
 	limit     float64
 	instances []*simulatedInstance
-	arrivals  []time.Time // of requests from instances that were told and that nothing excuses
+	arrivals  []time.Time // of requests from undisturbed instances that know the limit
 }
 
 // simulatedInstance is an instance and what happens to it.
@@ -52,7 +52,7 @@
 	maxViewLag     = 1500 * time.Millisecond // until a change of the members is known
 	gossipInterval = 200 * time.Millisecond
 	stableTime     = 3 * time.Second        // after the first statement until the limit is checked
-	toldTime       = 500 * time.Millisecond // after an instance was told until it counts
+	toldTime       = 500 * time.Millisecond // from an instance's first answer with a limit until it counts
 	excusedTime    = 4 * time.Second        // after a restart or cut
 	faultRate      = 0.7                    // faults a second
 	pauseTime      = 5 * time.Second        // without requests, after as long with requests
--- a/pkg/throttler/home_test.go
+++ b/pkg/throttler/home_test.go
@@ -9,8 +9,8 @@
 	"github.com/oleanderpick/oleanderpick/pkg/throttler"
 )
 
-// Guards against a home that lends without bound, because it has not heard of a limit that
-// the borrower knows.
+// Guards against a home that lends without bound, because only the borrower knows the
+// limit.
 func TestHomeKeepsALimitThatOnlyTheBorrowerKnows(t *testing.T) {
 	start := time.Unix(1000, 0)
 	now := start.Add(time.Minute)
--- a/pkg/throttler/sharing_test.go
+++ b/pkg/throttler/sharing_test.go
@@ -134,14 +134,13 @@
 	return true
 }
 
-// news lets each instance count what it sent itself and what it has heard that others
-// sent. Peers of its data centre, or of a small fleet, tell it at once by datagram; others
+// peerCounts lets each instance count its own requests and those that peers reported. Peers of its data centre, or of a small fleet, tell it at once by datagram; others
 // in every second message that they exchange.
-type news struct {
+type peerCounts struct {
 	fleet        fleet
 	random       *rand.Rand
 	buckets      []bucket
-	pending      [][]time.Time // by instance: when it hears of requests that others sent
+	pending      [][]time.Time // by instance: arrival times of peers' reports
 	messageCount int
 }
 
@@ -153,8 +152,8 @@
 	contactsPerSecond = 40
 )
 
-func newNews(f fleet, random *rand.Rand) *news {
-	w := &news{fleet: f, random: random, pending: make([][]time.Time, f.instances)}
+func newPeerCounts(f fleet, random *rand.Rand) *peerCounts {
+	w := &peerCounts{fleet: f, random: random, pending: make([][]time.Time, f.instances)}
 	for range f.instances {
 		w.buckets = append(w.buckets, bucket{rate: f.limit, burst: 2, tokens: 1})
 	}
@@ -162,9 +161,9 @@
 	return w
 }
 
-func (w *news) messages() int { return w.messageCount }
+func (w *peerCounts) messages() int { return w.messageCount }
 
-func (w *news) admit(now time.Time, instance, _ int) bool {
+func (w *peerCounts) admit(now time.Time, instance, _ int) bool {
 	b := &w.buckets[instance]
 	b.fill(now)
 	w.pending[instance] = slices.DeleteFunc(w.pending[instance], func(at time.Time) bool {
@@ -263,10 +262,10 @@
 				newRandom := func() *rand.Rand { return rand.New(rand.NewPCG(simulationSeed, uint64(instances))) }
 				results := map[string]result{
 					"even parts": f.run(newEvenParts(f), newRandom()),
-					"news":       f.run(newNews(f, newRandom()), newRandom()),
+					"peer counts":       f.run(newPeerCounts(f, newRandom()), newRandom()),
 					"lending":    f.run(newLending(f, newRandom()), newRandom()),
 				}
-				for _, name := range []string{"even parts", "news", "lending"} {
+				for _, name := range []string{"even parts", "peer counts", "lending"} {
 					r := results[name]
 					t.Logf("%-14s %9d %6g  skewed %-5v %4d of %3d, %.2f, %.2f, %.2f", name, instances, limit, skewed, r.worstWindow, f.allowed(), r.used, r.topTier, r.messages)
 				}
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -106,7 +106,7 @@
 )
 
 // Blocked returns the endpoints that a request of a tier may not go to now; nil if there
-// are none. The values are the times from which on it may be tried again. If mayRequest is
+// are none. The values are the ends of the blocks. If mayRequest is
 // false, endpoints are blocked too if a permit must be requested first.
 func (t *Throttler) Blocked(now time.Time, tier int, mayRequest bool) map[string]time.Time {
 	var blocked map[string]time.Time
