--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -47,6 +47,10 @@
 	return fmt.Sprintf("dc%d", index%2)
 }
 
+func instanceName(index int) string {
+	return fmt.Sprintf("i%d", index)
+}
+
 // runFleet runs a test in virtual time with instances i0, i1 and so on, connected by
 // an in-process network. Their seeds are i0 and an address at which nobody answers.
 // The test gets a clock that also counts suspended time.
@@ -58,7 +62,7 @@
 		network := piper.New()
 		instances := make([]testInstance, 0, count)
 		for i := range count {
-			name := fmt.Sprintf("i%d", i)
+			name := instanceName(i)
 			d := dispatcher.New(dispatcher.Settings{
 				Name: name, KeyLeaseDuration: keyLease, ReregistrationWindow: 2 * time.Second,
 				RepeatLimits: retrier.RepeatLimiterSettings{Window: 10 * time.Second, Burst: 7},
@@ -68,6 +72,7 @@
 			settings.DataCentre = dataCentre(i)
 			settings.Seeds = []string{"i0:80", "gone:80"}
 			g := gossiper.New(settings, d, decimalDecoder{}, network.Client(), meter.New(), hclog.NewNullLogger())
+			d.SetPermitSource(g)
 			network.Serve(name, g.Handler())
 			ctx, cancel := context.WithCancel(context.Background())
 			go func() { _ = d.Serve(ctx) }()
