throttler, dispatcher: Log why an instance gets no permit

Found while reading the change again: 'Requested a permit.' did not say which request needed it nor why it was denied, so that a limit that is used up, a home that has just taken over, instances that differ on the members and a missing registration looked alike; denials by the instance's own home were not logged at all. Change: a denial has a reason, the line has the request, the limit's age and the reason, and own denials are logged too. TestDenialsStateTheirReason.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -65,6 +65,7 @@
 type Dispatcher struct {
 	clock      Clock
 	logger     hclog.Logger
+	name       string
 	dataCentre string
 	calls      chan func()
 	done       chan struct{}
@@ -104,6 +105,7 @@
 	return &Dispatcher{
 		clock:         clock,
 		logger:        logger,
+		name:          settings.Name,
 		dataCentre:    settings.DataCentre,
 		calls:         make(chan func(), maxQueuedCalls),
 		done:          make(chan struct{}),
--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -64,15 +64,22 @@
 }
 
 // recordReply records a home's reply and logs it.
-func (d *Dispatcher) recordReply(need *permitNeed, reply throttler.Reply, err error) {
+func (d *Dispatcher) recordReply(request placer.Request, need *permitNeed, reply throttler.Reply, err error) {
 	endpoint := need.request.Statement.Endpoint
 	d.throttler.RecordReply(d.clock.Now(), endpoint, need.request.Tier, reply, err == nil)
+	d.logPermit(request, endpoint, need.home, reply, err)
+}
+
+// logPermit logs the reply of an endpoint's home to a request for a permit.
+func (d *Dispatcher) logPermit(request placer.Request, endpoint, home string, reply throttler.Reply, err error) {
+	statement, _ := d.throttler.Statement(endpoint)
 	cause := ""
 	if err != nil {
 		cause = err.Error()
 	}
-	d.logger.Info("Requested a permit.", "endpoint", endpoint, "limit", need.request.Statement.Limit.Rate, "home", need.home,
-		"tier", need.request.Tier, "permits", reply.Permits, "wait ms", reply.Wait.Milliseconds(), "error", cause)
+	d.logger.Info("Requested a permit.", "request", request.ID, "endpoint", endpoint, "limit", statement.Limit.Rate,
+		"limit age ms", d.clock.Now().Sub(statement.MadeAt).Milliseconds(), "home", home, "tier", request.Tier,
+		"permits", reply.Permits, "reason", string(reply.Reason), "wait ms", reply.Wait.Milliseconds(), "error", cause)
 }
 
 // CanPlace reports whether an endpoint may get the request now without a request for
@@ -93,7 +100,7 @@
 	d.runAndWait(func() {
 		endpoint := request.Statement.Endpoint
 		if !d.placer.HasEndpoint(endpoint) {
-			reply.Wait = unregisteredWait
+			reply = throttler.Reply{Wait: unregisteredWait, Reason: throttler.Unregistered}
 
 			return
 		}
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -39,7 +39,7 @@
 		reply, err := d.requestPermit(ctx, requested)
 		placement, need, ok = Placement{}, nil, false
 		d.runAndWait(func() {
-			d.recordReply(requested, reply, err)
+			d.recordReply(request, requested, reply, err)
 			placement, need, ok = d.tryToPlace(request, requests < maxPermitRequests)
 		})
 	}
@@ -80,6 +80,7 @@
 
 			return placement, nil, true
 		case throttler.Avoid: // The endpoint is blocked now, so the next choice is another one.
+			d.logPermit(request, placement.EndpointID, d.name, d.throttler.LastReply(placement.EndpointID), nil)
 		}
 	}
 }
--- a/internal/gossiper/permit.go
+++ b/internal/gossiper/permit.go
@@ -33,7 +33,7 @@
 	}
 	g.meter.Add(name, 1)
 
-	return throttler.Reply{Permits: int(reply.GetPermits()), Wait: time.Duration(reply.GetWaitMs()) * time.Millisecond}, nil
+	return throttler.Reply{Permits: int(reply.GetPermits()), Wait: time.Duration(reply.GetWaitMs()) * time.Millisecond, Reason: throttler.Reason(reply.GetReason())}, nil
 }
 
 // addressOf returns the address from which an instance sent its last message; empty if
@@ -60,7 +60,7 @@
 		Statement: decodeLimit(time.Now(), request.GetLimit()), Tier: int(request.GetTier()),
 	})
 
-	return &gossipwire.PermitReply{Permits: uint32(max(0, reply.Permits)), WaitMs: toMilliseconds(reply.Wait)}, nil
+	return &gossipwire.PermitReply{Permits: uint32(max(0, reply.Permits)), WaitMs: toMilliseconds(reply.Wait), Reason: string(reply.Reason)}, nil
 }
 
 func encodeLimits(now time.Time, statements []throttler.Statement) []*gossipwire.Limit {
--- a/internal/relayer/limit_test.go
+++ b/internal/relayer/limit_test.go
@@ -144,6 +144,30 @@
 	})
 }
 
+// Guards against resumed streams that are not counted: the limited endpoint gets no more than
+// its limit, although another one breaks off each stream.
+func TestResumedStreamsCountAgainstTheLimit(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		h.serveEndpoints(streamEvents(3, abortMidEvent), func(w http.ResponseWriter, request *http.Request) {
+			w.Header().Set("X-Limit", "0.5")
+			streamEvents(5, nil)(w, request)
+		})
+		sendStreams := func() (arrivals int) {
+			before := h.arrivalsAt("e1")
+			for range 40 {
+				h.confirmConfiguration()
+				_, _, _ = h.send(h.newRequest(http.MethodPost, "/resume/x", "prompt")) // Most streams break off.
+				time.Sleep(100 * time.Millisecond)
+			}
+
+			return h.arrivalsAt("e1") - before
+		}
+		sendStreams()
+		arrivals := sendStreams()
+		assert.Assert(t, arrivals > 0 && arrivals <= 2*8, "%d arrivals", arrivals)
+	})
+}
+
 // Guards against giving up a slow answer for a repeat that no endpoint may get.
 func TestSlowAnswerIsKeptWhileNoEndpointMayGetARepeat(t *testing.T) {
 	runWithHarness(t, func(t *testing.T, h *harness) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -272,7 +272,7 @@
 func (r *relayedRequest) preparePlacement() {
 	service := r.route.PickService(r.relayer.random())
 	r.service, _ = r.matcher.Service(service)
-	r.placementRequest = placer.Request{Service: service, Tier: r.forwarding.Tier}
+	r.placementRequest = placer.Request{ID: r.metadata.ID, Service: service, Tier: r.forwarding.Tier}
 	if r.service.Engine != nil {
 		r.placementRequest.PromptTokens = max(1, r.metadata.PromptTokens)
 		r.placementRequest.OutputTokens = r.metadata.OutputTokens
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -15,6 +15,8 @@
 
 // Request describes a request that needs an endpoint.
 type Request struct {
+	// ID is the caller's ID of the request, for logs.
+	ID string
 	// Service is the name of the service that must run the request.
 	Service string
 	// PromptTokens and OutputTokens are the prompt's length and the expected
--- a/pkg/throttler/home.go
+++ b/pkg/throttler/home.go
@@ -13,8 +13,27 @@
 	Permits int
 	// Wait is the time after which a permit for the same tier may be requested again.
 	Wait time.Duration
+	// Reason is why none is lent; empty if Permits is positive.
+	Reason Reason
 }
 
+// Reason is why a home lends no permit.
+type Reason string
+
+// The reasons for lending no permit.
+const (
+	// UsedUp means that the limit is reached.
+	UsedUp Reason = "used-up"
+	// HigherTiers means that the permits left are kept for higher tiers.
+	HigherTiers Reason = "higher-tiers"
+	// NotHome means that the instance is not the endpoint's home.
+	NotHome Reason = "not-home"
+	// NewHome means that the instance has just become the endpoint's home.
+	NewHome Reason = "new-home"
+	// Unregistered means that the instance has not read the endpoint's registration.
+	Unregistered Reason = "unregistered"
+)
+
 const (
 	// takeoverDelay is how long an instance that has become a home lends nothing, in
 	// which the others notice and the permits of the previous home expire.
@@ -58,9 +77,9 @@
 	case r == nil || !r.limit.IsStated: // The limit has ended.
 		return Reply{Permits: 1}
 	case r.home != t.instanceName:
-		return Reply{Wait: unansweredWait}
+		return Reply{Wait: unansweredWait, Reason: NotHome}
 	case now.Sub(r.homeSince) < takeoverDelay:
-		return Reply{Wait: takeoverDelay - now.Sub(r.homeSince)}
+		return Reply{Wait: takeoverDelay - now.Sub(r.homeSince), Reason: NewHome}
 	}
 	r.refill(now)
 	tier = clampTier(tier)
@@ -68,9 +87,13 @@
 	// Lower tiers leave the saved permits to higher ones, as far as these demand them.
 	needed := min(r.burst(), 1+(r.burst()-1)*r.demandRatio(tier))
 	if r.tokens < needed {
+		reason := UsedUp
+		if r.tokens >= 1 {
+			reason = HigherTiers
+		}
 		wait := (needed - r.tokens) / r.rate() * max(1, r.demandRatio(placer.TierCount)/highDemandRatio)
 
-		return Reply{Wait: time.Duration(min(max(wait, lowestWait.Seconds()), longestWait.Seconds()) * float64(time.Second))}
+		return Reply{Wait: time.Duration(min(max(wait, lowestWait.Seconds()), longestWait.Seconds()) * float64(time.Second)), Reason: reason}
 	}
 	permits := 1 + min(maxPermits-1, int((r.tokens-needed)/float64(2*len(t.members))))
 	r.tokens -= float64(permits)
--- a/pkg/throttler/home_test.go
+++ b/pkg/throttler/home_test.go
@@ -77,3 +77,20 @@
 	action, _ := borrower.Take(now, endpointID, 0)
 	assert.Equal(t, action, throttler.RequestPermit)
 }
+
+// Guards against denials that an engineer on call cannot tell apart.
+func TestDenialsStateTheirReason(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start.Add(time.Minute)
+	statement := throttler.Statement{Endpoint: endpointID, Limit: throttler.Limit{IsStated: true, Rate: 1}, MadeAt: now}
+	home := throttler.New(start, "home")
+	assert.Equal(t, home.Lend(start, statement, 0).Reason, throttler.NewHome)
+	assert.Equal(t, home.Lend(now, statement, 0).Reason, throttler.Reason(""))
+	for range 2 {
+		home.Lend(now, statement, 0)
+	}
+	assert.Equal(t, home.Lend(now, statement, 0).Reason, throttler.UsedUp)
+	assert.Equal(t, home.Lend(now.Add(time.Second), statement, 1).Reason, throttler.HigherTiers)
+	home.SetMembers(now, []string{"other"})
+	assert.Equal(t, home.Lend(now, statement, 0).Reason, throttler.NotHome)
+}
--- a/pkg/throttler/sharing_test.go
+++ b/pkg/throttler/sharing_test.go
@@ -261,9 +261,9 @@
 				f := fleet{instances: instances, limit: limit, skewed: skewed}
 				newRandom := func() *rand.Rand { return rand.New(rand.NewPCG(simulationSeed, uint64(instances))) }
 				results := map[string]result{
-					"even parts": f.run(newEvenParts(f), newRandom()),
-					"peer counts":       f.run(newPeerCounts(f, newRandom()), newRandom()),
-					"lending":    f.run(newLending(f, newRandom()), newRandom()),
+					"even parts":  f.run(newEvenParts(f), newRandom()),
+					"peer counts": f.run(newPeerCounts(f, newRandom()), newRandom()),
+					"lending":     f.run(newLending(f, newRandom()), newRandom()),
 				}
 				for _, name := range []string{"even parts", "peer counts", "lending"} {
 					r := results[name]
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -35,6 +35,7 @@
 	// What this instance has borrowed.
 	permits         int
 	permitsExpireAt time.Time
+	lastReply       Reply
 	openRequests    int                         // requests for permits without a reply
 	blockedUntil    [placer.TierCount]time.Time // by tier
 }
@@ -165,7 +166,7 @@
 	if r == nil {
 		return
 	}
-	r.openRequests = max(0, r.openRequests-1)
+	r.openRequests, r.lastReply = max(0, r.openRequests-1), reply
 	if reply.Permits > 0 {
 		if !r.hasPermit(now) {
 			r.permits = 0
@@ -184,6 +185,15 @@
 	}
 }
 
+// LastReply returns the last reply of an endpoint's home, which may be this instance.
+func (t *Throttler) LastReply(endpoint string) Reply {
+	if r := t.records[endpoint]; r != nil {
+		return r.lastReply
+	}
+
+	return Reply{}
+}
+
 func (r *record) hasPermit(now time.Time) bool {
 	return r.permits > 0 && now.Before(r.permitsExpireAt)
 }
