dispatcher, relayer: Log the prompt blocks of broken answers and of crashes

Change: 'Attempt failed.' has the shared blocks and whether the answer had begun at that endpoint, 'Endpoint crashed.' the blocks of the broken answers, those that had begun apart. No decision changes.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -86,7 +86,7 @@
 	throttler           *throttler.Throttler
 	hasLimits           atomic.Bool // whether throttler has records
 	permitSource        PermitSource
-	brokenAnswers       map[string][]brokenAnswer // by endpoint ID
+	brokenAnswers       map[string][]BrokenAnswer // by endpoint ID
 	hasSuspects         atomic.Bool               // whether quarantine has entries
 	lastAttemptID       uint64
 	rank                int
@@ -116,7 +116,7 @@
 		repeatLimiter: retrier.NewRepeatLimiter(settings.RepeatLimits),
 		quarantine:    quarantiner.New(quarantiner.DefaultSettings()),
 		throttler:     throttler.New(clock.Now(), settings.Name),
-		brokenAnswers: map[string][]brokenAnswer{},
+		brokenAnswers: map[string][]BrokenAnswer{},
 		onLoadChange:  func(string, placer.Load) {},
 	}
 }
--- a/internal/dispatcher/poison.go
+++ b/internal/dispatcher/poison.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
@@ -17,23 +19,29 @@
 	maxSuspectsPerMessage = 32
 )
 
-// brokenAnswer is an answer that did not arrive whole, with the fingerprint of its
-// request. It is attributed to a crash only when the endpoint refuses connections soon
+// BrokenAnswer is an answer that did not arrive whole, although the endpoint may have run
+// the request. It is attributed to a crash only when the endpoint refuses connections soon
 // after, because answers are also lost for other reasons.
-type brokenAnswer struct {
-	fingerprint uint64
-	brokenAt    time.Time
+type BrokenAnswer struct {
+	// Fingerprint identifies the request.
+	Fingerprint uint64
+	// Blocks are the IDs of the blocks of its prompt that other prompts may contain too.
+	Blocks []uint64
+	// HasBegun reports whether a whole event of the answer came from this endpoint.
+	HasBegun bool
+
+	brokenAt time.Time
 }
 
-// RecordBrokenAnswer records that no whole answer to the request with the fingerprint
-// arrived, although the endpoint may have run the request.
-func (d *Dispatcher) RecordBrokenAnswer(placement Placement, fingerprint uint64) {
+// RecordBrokenAnswer records that the answer to a request broke off.
+func (d *Dispatcher) RecordBrokenAnswer(placement Placement, answer BrokenAnswer) {
 	d.runAndWait(func() {
 		answers := d.brokenAnswers[placement.EndpointID]
 		if len(answers) >= maxBrokenAnswersPerEndpoint {
 			answers = answers[1:]
 		}
-		d.brokenAnswers[placement.EndpointID] = append(answers, brokenAnswer{fingerprint: fingerprint, brokenAt: d.clock.Now()})
+		answer.brokenAt = d.clock.Now()
+		d.brokenAnswers[placement.EndpointID] = append(answers, answer)
 	})
 }
 
@@ -42,11 +50,17 @@
 func (d *Dispatcher) RecordConnectionRefused(placement Placement) {
 	d.runAndWait(func() {
 		now := d.clock.Now()
-		var fingerprints []uint64
+		var fingerprints, unbegunBlocks, begunBlocks []uint64
 		for _, answer := range d.brokenAnswers[placement.EndpointID] {
-			if now.Sub(answer.brokenAt) < crashCorrelationWindow {
-				fingerprints = append(fingerprints, answer.fingerprint)
+			switch {
+			case now.Sub(answer.brokenAt) >= crashCorrelationWindow:
+				continue
+			case answer.HasBegun:
+				begunBlocks = append(begunBlocks, answer.Blocks...)
+			default:
+				unbegunBlocks = append(unbegunBlocks, answer.Blocks...)
 			}
+			fingerprints = append(fingerprints, answer.Fingerprint)
 		}
 		delete(d.brokenAnswers, placement.EndpointID)
 		if len(fingerprints) == 0 {
@@ -54,10 +68,24 @@
 		}
 		d.quarantine.RecordCrash(now, placement.EndpointID, fingerprints)
 		d.hasSuspects.Store(true)
-		d.logger.Warn("Endpoint crashed.", "endpoint", placement.EndpointID, "requests there", len(fingerprints))
+		d.logger.Warn("Endpoint crashed.", "endpoint", placement.EndpointID, "requests there", len(fingerprints),
+			"blocks of unbegun answers", FormatBlocks(unbegunBlocks), "blocks of begun answers", FormatBlocks(begunBlocks))
 	})
 }
 
+// FormatBlocks returns the sorted IDs of prompt blocks, without repetition, for logs.
+func FormatBlocks(ids []uint64) string {
+	var text []byte
+	for i, id := range slices.Compact(slices.Sorted(slices.Values(ids))) {
+		if i > 0 {
+			text = append(text, ' ')
+		}
+		text = strconv.AppendUint(text, id, 16)
+	}
+
+	return string(text)
+}
+
 // HasSuspects reports whether any request is suspected of crashing endpoints. It does not
 // wait for the control goroutine.
 func (d *Dispatcher) HasSuspects() bool {
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -226,7 +226,7 @@
 		const poisonFingerprint, otherFingerprint = 1, 2
 		for _, endpoint := range []string{"e1", "e2"} {
 			placement := dispatcher.Placement{Choice: placer.Choice{EndpointID: endpoint}}
-			instances[1].dispatcher.RecordBrokenAnswer(placement, poisonFingerprint)
+			instances[1].dispatcher.RecordBrokenAnswer(placement, dispatcher.BrokenAnswer{Fingerprint: poisonFingerprint})
 			instances[1].dispatcher.RecordConnectionRefused(placement)
 		}
 		time.Sleep(time.Second)
@@ -243,7 +243,7 @@
 	runFleet(t, 1, func(t *testing.T, _ *piper.Network, instances []testInstance, _ func() time.Duration) {
 		d := instances[0].dispatcher
 		for _, endpoint := range []string{"e1", "e2", "e3"} {
-			d.RecordBrokenAnswer(dispatcher.Placement{Choice: placer.Choice{EndpointID: endpoint}}, 1)
+			d.RecordBrokenAnswer(dispatcher.Placement{Choice: placer.Choice{EndpointID: endpoint}}, dispatcher.BrokenAnswer{Fingerprint: 1})
 			time.Sleep(3 * time.Second)
 			d.RecordConnectionRefused(dispatcher.Placement{Choice: placer.Choice{EndpointID: endpoint}})
 		}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -29,6 +29,8 @@
 	endpointLoad *EndpointLoad
 	// rateLimit is the limit that the endpoint stated in its response; nil if none.
 	rateLimit *RateLimit
+	// hasBegun is true once a whole event of the answer came from the endpoint.
+	hasBegun bool
 	// answered is true once the caller has the final answer.
 	answered bool
 	// mayHaveRun is true if the endpoint may have run the request.
@@ -154,7 +156,7 @@
 		reason = r.relayer.dispatcher.TakeRepeat(r.placementRequest.Service, history, wasSent)
 	}
 	r.relayer.logger.Info("Attempt failed.", "request", r.metadata.ID, "route", r.route.Name, "endpoint", a.placement.EndpointID,
-		"result", a.result.String(), "endpoint load", a.endpointLoad.String(), "endpoint limit", a.rateLimit.String(), "known running", a.placement.KnownLoad.RunningRequests, "may have run", a.mayHaveRun, "begun", r.answerStarted, "runs", r.possibleRuns, "refusals", r.refusals, "unsent", r.unsentAttempts,
+		"result", a.result.String(), "endpoint load", a.endpointLoad.String(), "endpoint limit", a.rateLimit.String(), "known running", a.placement.KnownLoad.RunningRequests, "may have run", a.mayHaveRun, "begun", r.answerStarted, "begun there", a.hasBegun, "blocks", dispatcher.FormatBlocks(r.metadata.SharedBlocks()), "runs", r.possibleRuns, "refusals", r.refusals, "unsent", r.unsentAttempts,
 		"cause", causeText(a.failureCause), "decision", decisionName(reason))
 	r.relayer.meter.CountRetryDecision(decisionName(reason))
 	if reason == retrier.ReasonNone {
@@ -256,7 +258,9 @@
 		a.result = placer.Canceled
 	}
 	if a.mayHaveRun && a.result == placer.Failed && !stalled {
-		r.relayer.dispatcher.RecordBrokenAnswer(a.placement, r.fingerprint())
+		r.relayer.dispatcher.RecordBrokenAnswer(a.placement, dispatcher.BrokenAnswer{
+			Fingerprint: r.fingerprint(), Blocks: r.metadata.SharedBlocks(), HasBegun: a.hasBegun,
+		})
 	}
 	// If sent bytes are not acknowledged or the endpoint is silent, idle connections
 	// to it may be dead too.
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -26,6 +26,24 @@
 	PromptBlocks               []placer.PromptBlock
 }
 
+// maxSharedBlocks limits the blocks of a prompt that are examined when an endpoint crashes.
+const maxSharedBlocks = 64
+
+// SharedBlocks returns the IDs of the first maxSharedBlocks blocks that other prompts may
+// contain too. The last block of a prompt belongs to the request or its session alone.
+func (m RequestMetadata) SharedBlocks() []uint64 {
+	if len(m.PromptBlocks) < 2 {
+		return nil
+	}
+	shared := m.PromptBlocks[:min(len(m.PromptBlocks)-1, maxSharedBlocks)]
+	ids := make([]uint64, 0, len(shared))
+	for _, block := range shared {
+		ids = append(ids, block.ID)
+	}
+
+	return ids
+}
+
 // ForwardingMetadata is what this instance adds to a request that it sends to an endpoint.
 type ForwardingMetadata struct {
 	// EndpointID is the ID of the only endpoint that may run the request.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -50,6 +50,7 @@
 
 			return
 		}
+		a.hasBegun = true
 		a.stallDetector.restart()
 		now := time.Now()
 		if first {
