--- a/internal/lab/piper/piper.go
+++ b/internal/lab/piper/piper.go
@@ -10,13 +10,15 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
-// ErrRefused is returned by a dial to a name that has no server.
-var ErrRefused = errors.New("connection refused")
+// ErrRefused is returned by a dial to a name that has no server. It wraps the error of
+// a network connection that is refused.
+var ErrRefused = errors.Wrap(syscall.ECONNREFUSED, "no server")
 
 // Network is an in-memory network of named servers. It is safe for concurrent use.
 type Network struct {
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/meter"
 	"github.com/oleanderpick/oleanderpick/internal/relayer"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
 )
@@ -30,8 +31,14 @@
 
 func (testCodec) ParseRequest(header http.Header) relayer.RequestMetadata {
 	timeoutMs, _ := strconv.Atoi(header.Get("X-Patience"))
+	var blocks []placer.PromptBlock
+	for _, text := range strings.Fields(header.Get("X-Blocks")) {
+		id, _ := strconv.ParseUint(text, 16, 64)
+		blocks = append(blocks, placer.PromptBlock{ID: id})
+	}
 
 	return relayer.RequestMetadata{
+		PromptBlocks: blocks,
 		ID: header.Get("X-Id"), APIKey: header.Get("X-Key"), LastEventID: header.Get("X-After"),
 		CallerTimeout: time.Duration(timeoutMs) * time.Millisecond,
 	}
@@ -121,12 +128,15 @@
 		h.network.Serve("front", h.relayer)
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _ = h.dispatcher.Serve(ctx) }()
+		defer func() {
+			time.Sleep(time.Minute) // Requests and restarts of endpoints end.
+			connections.Close()
+			h.network.Close()
+			cancel()
+			<-h.dispatcher.Done()
+			time.Sleep(time.Minute)
+		}()
 		test(t, h)
-		connections.Close()
-		h.network.Close()
-		cancel()
-		<-h.dispatcher.Done()
-		time.Sleep(time.Minute)
 	})
 }
 
