isolator: Find the prompt blocks that crash endpoints

Change: pkg/isolator keeps for each block the crashes since it last completed and finds the causes one after the other, each explaining the crashes that it was in. It is not used yet.

--- a/internal/dispatcher/poison.go
+++ b/internal/dispatcher/poison.go
@@ -50,8 +50,10 @@
 func (d *Dispatcher) RecordConnectionRefused(placement Placement) {
 	d.runAndWait(func() {
 		now := d.clock.Now()
-		var fingerprints, unbegunBlocks, begunBlocks []uint64
-		for _, answer := range d.brokenAnswers[placement.EndpointID] {
+		answers := d.brokenAnswers[placement.EndpointID]
+		fingerprints := make([]uint64, 0, len(answers))
+		var unbegunBlocks, begunBlocks []uint64
+		for _, answer := range answers {
 			switch {
 			case now.Sub(answer.brokenAt) >= crashCorrelationWindow:
 				continue
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -31,15 +31,16 @@
 
 func (testCodec) ParseRequest(header http.Header) relayer.RequestMetadata {
 	timeoutMs, _ := strconv.Atoi(header.Get("X-Patience"))
-	var blocks []placer.PromptBlock
-	for _, text := range strings.Fields(header.Get("X-Blocks")) {
+	ids := strings.Fields(header.Get("X-Blocks"))
+	blocks := make([]placer.PromptBlock, 0, len(ids))
+	for _, text := range ids {
 		id, _ := strconv.ParseUint(text, 16, 64)
 		blocks = append(blocks, placer.PromptBlock{ID: id})
 	}
 
 	return relayer.RequestMetadata{
 		PromptBlocks: blocks,
-		ID: header.Get("X-Id"), APIKey: header.Get("X-Key"), LastEventID: header.Get("X-After"),
+		ID:           header.Get("X-Id"), APIKey: header.Get("X-Key"), LastEventID: header.Get("X-After"),
 		CallerTimeout: time.Duration(timeoutMs) * time.Millisecond,
 	}
 }
--- /dev/null
+++ b/pkg/isolator/cause.go
@@ -0,0 +1,124 @@
+package isolator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// unbegunWeight is the weight of a crash at which a request with the block had not
+	// begun to be answered, and begunWeight that of any other crash.
+	unbegunWeight = 2
+	begunWeight   = 1
+	// minCauseWeight is the weight of crashes from which on a block is a cause, if no
+	// completed request with it is known.
+	minCauseWeight = 2 * unbegunWeight
+	// minCompletedCauseWeight is the same for a block that has completed before.
+	minCompletedCauseWeight = 4 * unbegunWeight
+)
+
+// cause is a block that crashes endpoints.
+type cause struct {
+	record *Record
+	// blocks are the blocks that a prompt must all contain to be refused: the cause's own,
+	// and those that may be the cause in its place.
+	blocks []uint64
+}
+
+// isIn reports whether a prompt has all blocks of the cause.
+func (c cause) isIn(prompt []uint64) bool {
+	for _, block := range c.blocks {
+		if !slices.Contains(prompt, block) {
+			return false
+		}
+	}
+
+	return true
+}
+
+// findCauses returns the causes that explain the crashes in the records, the best
+// supported first. Each explains all crashes that it was in, so that blocks which were
+// there too are causes only if enough other crashes remain.
+func findCauses(records map[uint64]*Record) []cause {
+	candidates := make([]*Record, 0, len(records))
+	for _, r := range records {
+		if weigh(r.Crashes, nil) >= minWeight(r) {
+			candidates = append(candidates, r)
+		}
+	}
+	var causes []cause
+	var explained []Crash
+	for len(candidates) > 0 {
+		best := slices.MaxFunc(candidates, func(a, b *Record) int { return compareSupport(a, b, explained) })
+		if weigh(best.Crashes, explained) < minWeight(best) {
+			break
+		}
+		causes = append(causes, cause{record: best, blocks: alternatives(records, best)})
+		explained = append(explained, best.Crashes...)
+		candidates = slices.DeleteFunc(candidates, func(r *Record) bool { return r == best })
+	}
+
+	return causes
+}
+
+// minWeight returns the weight of crashes from which on a block is a cause.
+func minWeight(r *Record) int {
+	if r.LastCompletedAt.IsZero() {
+		return minCauseWeight
+	}
+
+	return minCompletedCauseWeight
+}
+
+// compareSupport orders blocks by how well they explain the crashes that are not explained
+// yet, in proportion to the weight that they need. Among equals, the one that was always
+// accompanied by more blocks is in fewer requests.
+func compareSupport(a, b *Record, explained []Crash) int {
+	return cmp.Or(
+		cmp.Compare(weigh(a.Crashes, explained)*minWeight(b), weigh(b.Crashes, explained)*minWeight(a)),
+		cmp.Compare(len(a.Companions), len(b.Companions)),
+		cmp.Compare(b.Block, a.Block),
+	)
+}
+
+// weigh returns the weight of the crashes that are not explained. Crashes within
+// eventWindow weigh as much as the heaviest of them.
+func weigh(crashes, explained []Crash) int {
+	total, weight := 0, 0
+	var eventAt time.Time
+	for _, crash := range crashes {
+		if slices.ContainsFunc(explained, crash.isSame) {
+			continue
+		}
+		if weight == 0 || crash.At.Sub(eventAt) >= eventWindow {
+			total += weight
+			weight, eventAt = 0, crash.At
+		}
+		if crash.HasBegun {
+			weight = max(weight, begunWeight)
+		} else {
+			weight = unbegunWeight
+		}
+	}
+
+	return total + weight
+}
+
+// alternatives returns the cause's own block and those of its companions that may be the
+// cause in its place. It removes the companions that are known to have completed.
+func alternatives(records map[uint64]*Record, best *Record) []uint64 {
+	best.Companions = slices.DeleteFunc(best.Companions, func(companion uint64) bool {
+		r, ok := records[companion]
+
+		return ok && !r.LastCompletedAt.IsZero()
+	})
+	blocks := []uint64{best.Block}
+	for _, companion := range best.Companions {
+		if _, ok := records[companion]; ok {
+			blocks = append(blocks, companion)
+		}
+	}
+
+	return blocks
+}
--- /dev/null
+++ b/pkg/isolator/settings.go
@@ -0,0 +1,47 @@
+package isolator
+
+import "time"
+
+// Settings configures the durations and size limits of an Isolator.
+type Settings struct {
+	// RecordTTL is how long a record without a cause is kept after its latest event.
+	RecordTTL time.Duration
+	// CauseTTL is how long the record of a cause is kept after its latest event, such as a
+	// refused request.
+	CauseTTL time.Duration
+	// FirstTrialDelay is the time from the latest crash to the first trial of a cause with
+	// fewer crashes than StrongCrashes. Each trial doubles the delay of the next one.
+	FirstTrialDelay time.Duration
+	// StrongTrialDelay is the same for a cause with StrongCrashes or more, which gets
+	// MaxStrongTrials at the most.
+	StrongTrialDelay time.Duration
+	// StrongCrashes is the number of crashes from which on a cause counts as certain.
+	StrongCrashes int
+	// MaxStrongTrials is the number of trials of a cause since it counts as certain.
+	MaxStrongTrials int
+	// TrialSpread is the range of a random delay, different on each instance, by which a
+	// trial is made later, so that other instances hear of it before theirs.
+	TrialSpread time.Duration
+	// MaxRecords is the maximum number of blocks with a record.
+	MaxRecords int
+	// MaxCompletedBlocks is the maximum number of blocks whose last completion is kept.
+	MaxCompletedBlocks int
+	// MaxSharedRecords is the maximum number of records sent to another instance at once.
+	MaxSharedRecords int
+}
+
+// DefaultSettings returns settings for fleets of up to some hundred instances.
+func DefaultSettings() Settings {
+	return Settings{
+		RecordTTL:          10 * time.Minute,
+		CauseTTL:           time.Hour,
+		FirstTrialDelay:    time.Minute,
+		StrongTrialDelay:   10 * time.Minute,
+		StrongCrashes:      5,
+		MaxStrongTrials:    2,
+		TrialSpread:        30 * time.Second,
+		MaxRecords:         1024,
+		MaxCompletedBlocks: 4096,
+		MaxSharedRecords:   32,
+	}
+}
