relayer: Treat a stream that ends with its connection before an event as broken off

Cause: an answer without length and chunks ends with its connection. Such a stream that ended after its headers was passed on as a complete, empty answer (200). Change: it is an attempt without an answer. An end within an event was recognized before; the new test covers both, and the reset of an answer without a length. Before: 'ends before an event' failed, complete. After: all pass.

--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -105,7 +106,8 @@
 	dispatcher    *dispatcher.Dispatcher
 	relayer       *relayer.Relayer
 	bootClock     func() time.Duration
-	suspendedTime time.Duration // time that the machine was suspended; only the boot clock counts it
+	wrapConn      func(net.Conn) net.Conn // wraps connections to endpoints; nil for none
+	suspendedTime time.Duration           // time that the machine was suspended; only the boot clock counts it
 
 	mu               sync.Mutex
 	reachedEndpoints []string // IDs of the endpoints that requests reached, in order of arrival
@@ -124,7 +126,7 @@
 			KeyLeaseDuration: keyLease, ReregistrationWindow: 2 * time.Second,
 			RepeatLimits: retrier.RepeatLimiterSettings{Window: 10 * time.Second, RepeatRatio: 0.2, Burst: 50},
 		}, dispatcher.Clock{Now: time.Now, SinceBoot: func() time.Duration { return h.bootClock() }}, hclog.NewNullLogger())
-		connections := connector.New(connector.DefaultSettings(), h.network.Dial)
+		connections := connector.New(connector.DefaultSettings(), h.dialEndpoint)
 		h.relayer = relayer.New(testCodec{}, h.dispatcher, connections, meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 })
 		h.network.Serve("front", h.relayer)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -141,6 +143,16 @@
 	})
 }
 
+// dialEndpoint connects to an endpoint.
+func (h *harness) dialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := h.network.Dial(ctx, network, address)
+	if err != nil || h.wrapConn == nil {
+		return conn, err
+	}
+
+	return h.wrapConn(conn), nil
+}
+
 // confirmConfiguration applies the test configuration as read just now.
 func (h *harness) confirmConfiguration() {
 	h.dispatcher.ApplyConfiguration(h.bootClock(), matcher.New(testConfiguration()), dispatcher.StoredConfiguration{})
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -35,6 +35,9 @@
 	lastReported := time.Time{}
 	for first := true; ; first = false {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && !a.hasBegun && endsWithConnection(a.response) {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			r.finishStream(ctx, a)
 
@@ -115,3 +118,9 @@
 	r.releaseConnection(a)
 	r.recordServed(a)
 }
+
+// endsWithConnection reports whether only the end of the connection shows where the
+// response's body ends.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
--- /dev/null
+++ b/internal/relayer/without_length_test.go
@@ -0,0 +1,80 @@
+package relayer_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a stream without a length that its endpoint broke off, within an event or
+// before the first one, looking complete to the caller.
+func TestStreamWithoutLengthIsCompleteOnlyAtTheEndOfAnEvent(t *testing.T) {
+	for name, test := range map[string]struct {
+		body, want string
+		complete   bool
+	}{
+		"ends after an event":        {eventsText(2), eventsText(2), true},
+		"ends within an event":       {eventsText(2) + "id: 3\ndata: pie", eventsText(2), false},
+		"ends after a line":          {eventsText(2) + "id: 3\n", eventsText(2), false},
+		"ends before the last break": {eventsText(2) + "id: 3\ndata: piece 3\n", eventsText(2), false},
+		"ends before an event":       {"", "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithHarness(t, func(t *testing.T, h *harness) {
+				h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+					request := h.readRawRequest(reader)
+					if request == nil {
+						return
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Type: text/event-stream\r\n\r\n%s", request.Header.Get("X-Id"), test.body)
+					_ = conn.Close()
+				})
+				response, body, err := h.send(h.newRequest(http.MethodPost, "/stream/x", ""))
+				isComplete := err == nil && response.StatusCode == http.StatusOK
+				assert.Equal(t, isComplete, test.complete, "error %v", err)
+				if response != nil && response.StatusCode == http.StatusOK {
+					assert.Equal(t, body, test.want)
+				}
+				assert.Equal(t, h.arrivalCount(), 1)
+			})
+		})
+	}
+}
+
+// resetConn is a connection that ends with a reset.
+type resetConn struct{ net.Conn }
+
+func (c resetConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = syscall.ECONNRESET
+	}
+
+	return n, err
+}
+
+// Guards against an answer without a length that is cut off by a reset, not by the regular
+// end of its connection, looking complete to the caller.
+func TestAnswerWithoutLengthIsNotCompleteAfterReset(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		h.wrapConn = func(conn net.Conn) net.Conn { return resetConn{conn} }
+		h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+			request := h.readRawRequest(reader)
+			if request == nil {
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\nhalf of the answer", request.Header.Get("X-Id"))
+			_ = conn.Close()
+		})
+		response, _, err := h.send(h.newRequest(http.MethodPost, "/once/x", ""))
+		assert.Assert(t, err != nil || response.StatusCode == http.StatusBadGateway)
+		assert.Equal(t, h.arrivalCount(), 1)
+	})
+}
