relayer, connector: Notice a crash by opening a connection to the endpoint

Cause: an instance noticed a crash only if another request of its own was refused a connection there within two seconds. Change: after a broken answer the instance opens a connection to the endpoint, one at a time, and keeps it for later requests if it is accepted. A refusal is a crash, and so is no reply if the endpoint had fallen silent. Streams that are given up for silence and large answers that break off are examined too; the crash counts from the endpoint's last sign. Evidence: TestRequestThatCrashesEndpointsIsStoppedWithoutOtherRequests failed before with 20 crashes where 6 are allowed, and passes. TestPromptBlockThatCrashesEndpointsIsStopped, now with more ways in which a crash shows, still fails.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -137,6 +137,12 @@
 	if idle := c.takeIdle(address); idle != nil {
 		return idle, nil
 	}
+
+	return c.dial(ctx, address)
+}
+
+// dial opens a connection.
+func (c *Connector) dial(ctx context.Context, address string) (*Connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.DialTimeout)
 	defer cancel()
 	var conn *countingConn
@@ -148,6 +154,18 @@
 	return &Connection{address: address, client: client, conn: conn}, nil
 }
 
+// Probe opens a connection to the address, which shows whether the endpoint accepts any, and
+// keeps it for a later request unless maxIdle connections to the address are idle already.
+func (c *Connector) Probe(ctx context.Context, address string, maxIdle int) error {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.keep(conn, c.settings.DefaultIdleTimeout, maxIdle)
+
+	return nil
+}
+
 // takeIdle removes and returns the idle connection to the address that was used last;
 // nil if there is none that can be reused. It closes unusable ones on the way.
 func (c *Connector) takeIdle(address string) *Connection {
@@ -208,6 +226,12 @@
 		return
 	}
 	conn.isReused = true
+	c.keep(conn, timeout, maxIdle)
+}
+
+// keep makes a connection idle for a time, or closes it if maxIdle connections to the
+// address are idle already.
+func (c *Connector) keep(conn *Connection, timeout time.Duration, maxIdle int) {
 	conn.expiresAt = time.Now().Add(timeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -227,7 +227,7 @@
 		for _, endpoint := range []string{"e1", "e2"} {
 			placement := dispatcher.Placement{Choice: placer.Choice{EndpointID: endpoint}}
 			instances[1].dispatcher.RecordBrokenAnswer(placement, dispatcher.BrokenAnswer{Fingerprint: poisonFingerprint})
-			instances[1].dispatcher.RecordConnectionRefused(placement)
+			instances[1].dispatcher.RecordEndpointDown(placement)
 		}
 		time.Sleep(time.Second)
 		for _, i := range instances {
@@ -245,7 +245,7 @@
 		for _, endpoint := range []string{"e1", "e2", "e3"} {
 			d.RecordBrokenAnswer(dispatcher.Placement{Choice: placer.Choice{EndpointID: endpoint}}, dispatcher.BrokenAnswer{Fingerprint: 1})
 			time.Sleep(3 * time.Second)
-			d.RecordConnectionRefused(dispatcher.Placement{Choice: placer.Choice{EndpointID: endpoint}})
+			d.RecordEndpointDown(dispatcher.Placement{Choice: placer.Choice{EndpointID: endpoint}})
 		}
 		assert.Assert(t, !d.IsQuarantined(1))
 	})
--- a/internal/lab/piper/piper.go
+++ b/internal/lab/piper/piper.go
@@ -38,6 +38,7 @@
 	pending   chan net.Conn
 	closed    chan struct{}
 	closeOnce sync.Once
+	isSilent  bool // guarded by the network's mutex
 }
 
 // Serve serves an HTTP handler under a name until Stop or Close.
@@ -86,6 +87,16 @@
 	}
 }
 
+// Silence makes the named server fall silent: it keeps its connections, and later dials to
+// the name wait in vain until Stop.
+func (n *Network) Silence(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if silenced, ok := n.servers[name]; ok {
+		silenced.isSilent = true
+	}
+}
+
 // Close stops every server.
 func (n *Network) Close() {
 	n.mu.Lock()
@@ -116,10 +127,16 @@
 	target, ok := n.servers[name]
 	n.dialCount++
 	dialNumber := n.dialCount
+	isSilent := ok && target.isSilent
 	n.mu.Unlock()
 	if !ok {
 		return nil, errors.Wrap(ErrRefused, name)
 	}
+	if isSilent {
+		<-ctx.Done()
+
+		return nil, ctx.Err()
+	}
 
 	clientEnd, serverEnd := net.Pipe()
 	select {
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -109,6 +109,9 @@
 	if err != nil {
 		a.result = placer.Failed
 		a.connection.Close()
+		if r.incoming.Context().Err() == nil {
+			r.reportBrokenAnswer(a, false)
+		}
 		r.abortCallerConnection(errors.Wrap(err, "large answer was truncated"))
 	}
 	r.releaseConnection(a)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/connector"
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
+	"github.com/oleanderpick/oleanderpick/pkg/matcher"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
 )
@@ -37,6 +38,8 @@
 	mayHaveRun    bool
 	result        placer.Result
 	stallDetector *stallDetector
+	// crashCheck is a check whether the endpoint crashed; nil if there was no reason for one.
+	crashCheck *crashCheck
 	// failureCause is why there is no answer to forward; nil if there is one.
 	failureCause error
 }
@@ -212,7 +215,7 @@
 	conn, err := r.relayer.connections.Open(ctx, a.placement.Address)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			r.relayer.dispatcher.RecordConnectionRefused(a.placement)
+			r.relayer.dispatcher.RecordEndpointDown(a.placement)
 		}
 		r.failAttempt(ctx, a, err)
 		if a.result == placer.Failed {
@@ -257,11 +260,6 @@
 	case ctx.Err() != nil && !r.isEndpointSilent(a):
 		a.result = placer.Canceled
 	}
-	if a.mayHaveRun && a.result == placer.Failed && !stalled {
-		r.relayer.dispatcher.RecordBrokenAnswer(a.placement, dispatcher.BrokenAnswer{
-			Fingerprint: r.fingerprint(), Blocks: r.metadata.SharedBlocks(), HasBegun: a.hasBegun,
-		})
-	}
 	// If sent bytes are not acknowledged or the endpoint is silent, idle connections
 	// to it may be dead too.
 	if a.result == placer.Failed && (errors.Is(cause, syscall.ETIMEDOUT) || r.isEndpointSilent(a)) {
@@ -270,6 +268,9 @@
 	if a.connection != nil {
 		a.connection.Close()
 	}
+	if a.mayHaveRun && a.result == placer.Failed && (!stalled || r.route.Kind == matcher.Streaming) {
+		r.reportBrokenAnswer(a, stalled || r.isEndpointSilent(a))
+	}
 }
 
 // isEndpointSilent reports whether the endpoint has sent nothing on any request for so
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -21,6 +21,7 @@
 
 	poisonArrivals []time.Time // when requests with poisonBlock reached an endpoint
 	crashes        []time.Time
+	isDown         map[string]bool // by endpoint ID
 }
 
 const (
@@ -28,16 +29,22 @@
 	crashDowntime = 2 * time.Second
 )
 
-// serveCrashingEndpoints registers so many endpoints. endAnswer is what one does with the
-// answer that crashes it, before its connections end.
-func (h *harness) serveCrashingEndpoints(count int, endAnswer func(io.Writer)) *crashingEndpoints {
+// crashWay is what an endpoint does with the answer that crashes it, before its connections
+// end or fall silent.
+type crashWay struct {
+	beginAnswer func(http.ResponseWriter)
+	isSilent    bool
+}
+
+// serveCrashingEndpoints registers so many endpoints.
+func (h *harness) serveCrashingEndpoints(count int, way crashWay) *crashingEndpoints {
 	h.confirmConfiguration()
-	c := &crashingEndpoints{harness: h}
+	c := &crashingEndpoints{harness: h, isDown: map[string]bool{}}
 	endpoints := make([]registrar.Endpoint, 0, count)
 	for i := range count {
 		id := fmt.Sprint("e", i)
 		endpoints = append(endpoints, registrar.Endpoint{ID: id, Service: "api", Address: id + ":80", Slots: 64})
-		h.network.Serve(id, c.handler(id, endAnswer))
+		h.network.Serve(id, c.handler(id, way))
 	}
 	h.dispatcher.ApplyListing(h.bootClock(), 0, endpoints)
 
@@ -45,7 +52,7 @@
 }
 
 // handler returns the handler of one endpoint.
-func (c *crashingEndpoints) handler(id string, endAnswer func(io.Writer)) http.HandlerFunc {
+func (c *crashingEndpoints) handler(id string, way crashWay) http.HandlerFunc {
 	answer := streamEvents(10, nil)
 
 	return func(w http.ResponseWriter, request *http.Request) {
@@ -59,14 +66,36 @@
 		c.poisonArrivals = append(c.poisonArrivals, time.Now())
 		c.mu.Unlock()
 		time.Sleep(50 * time.Millisecond)
-		c.mu.Lock()
-		c.crashes = append(c.crashes, time.Now())
-		c.mu.Unlock()
+		if !c.recordCrash(id) {
+			return
+		}
 		w.Header().Set("Content-Type", "text/event-stream")
-		endAnswer(w)
+		way.beginAnswer(w)
+		if way.isSilent {
+			c.network.Silence(id)
+			time.Sleep(crashDowntime)
+		}
 		c.network.Stop(id)
-		time.AfterFunc(crashDowntime, func() { c.network.Serve(id, c.handler(id, endAnswer)) })
+		time.AfterFunc(crashDowntime, func() {
+			c.mu.Lock()
+			delete(c.isDown, id)
+			c.mu.Unlock()
+			c.network.Serve(id, c.handler(id, way))
+		})
+	}
+}
+
+// recordCrash records that an endpoint crashes, unless another request has crashed it.
+func (c *crashingEndpoints) recordCrash(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isDown[id] {
+		return false
 	}
+	c.isDown[id] = true
+	c.crashes = append(c.crashes, time.Now())
+
+	return true
 }
 
 // poisonArrivalsAfterFifthCrash returns the number of requests with poisonBlock that
@@ -107,10 +136,34 @@
 		duration = 40 * time.Second
 		settled  = 20 * time.Second // the crashes are over long before
 	)
-	for _, path := range []string{"/stream/", "/resume/"} {
-		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+	withoutLength := func(w http.ResponseWriter) { w.Header().Set("Transfer-Encoding", "identity") }
+	for name, test := range map[string]struct {
+		path string
+		way  crashWay
+	}{
+		"stream":                    {"/stream/", crashWay{beginAnswer: writeHalfEvent}},
+		"resumable stream":          {"/resume/", crashWay{beginAnswer: writeHalfEvent}},
+		"no answer":                 {"/stream/", crashWay{beginAnswer: func(http.ResponseWriter) {}}},
+		"silence":                   {"/stream/", crashWay{beginAnswer: writeHalfEvent, isSilent: true}},
+		"silence, resumable stream": {"/resume/", crashWay{beginAnswer: writeHalfEvent, isSilent: true}},
+		"end of a stream without length": {"/stream/", crashWay{beginAnswer: func(w http.ResponseWriter) {
+			withoutLength(w)
+			writeHalfEvent(w)
+		}}},
+		"end after the headers": {"/resume/", crashWay{beginAnswer: func(w http.ResponseWriter) {
+			withoutLength(w)
+			_ = http.NewResponseController(w).Flush()
+		}}},
+		"end of an event of a stream without length": {"/stream/", crashWay{beginAnswer: func(w http.ResponseWriter) {
+			withoutLength(w)
+			_, _ = io.WriteString(w, "id: 1\ndata: piece 1\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := test.path
 			runWithHarness(t, func(t *testing.T, h *harness) {
-				c := h.serveCrashingEndpoints(12, abortMidEventWithoutPanic)
+				c := h.serveCrashingEndpoints(12, test.way)
 				served, sent := 0, 0
 				start := time.Now()
 				for i := 0; time.Since(start) < duration; i++ {
@@ -130,17 +183,50 @@
 					time.Sleep(interval)
 				}
 				arrivals := c.poisonArrivalsAfterFifthCrash(3 * time.Second)
+				t.Logf("%d requests with the block reached endpoints, %d crashes", len(c.poisonArrivals), len(c.crashes))
 				assert.Assert(t, arrivals <= 3, "%d requests with the block after the fifth of %d crashes", arrivals, len(c.crashes))
 				assert.Assert(t, served >= sent*9/10, "%d of %d sound requests served", served, sent)
+				c.assertHeldBack(path, poisonBlock)
 			})
 		})
 	}
 }
 
-// abortMidEventWithoutPanic writes half an event.
-func abortMidEventWithoutPanic(w io.Writer) {
+// assertHeldBack checks that a request whose prompt has the block is refused at once, as
+// not run, and reaches no endpoint.
+func (c *crashingEndpoints) assertHeldBack(path, block string) {
+	c.t.Helper()
+	before, sentAt := len(c.poisonArrivals), time.Now()
+	request := c.newRequest(http.MethodPost, path+"last", "")
+	request.Header.Set("X-Blocks", "1 "+block+" f00d")
+	response, body, err := c.send(request)
+	assert.NilError(c.t, err)
+	assert.Equal(c.t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(c.t, body, `{"error":"held-back","outcome":"not-run"}`)
+	assert.Assert(c.t, response.Header.Get("Retry-After") != "")
+	assert.Equal(c.t, time.Since(sentAt), time.Duration(0))
+	assert.Equal(c.t, len(c.poisonArrivals), before)
+}
+
+// writeHalfEvent writes half an event.
+func writeHalfEvent(w http.ResponseWriter) {
 	_, _ = io.WriteString(w, "id: 99\ndata: pie")
-	if flusher, ok := w.(http.Flusher); ok {
-		flusher.Flush()
-	}
+	_ = http.NewResponseController(w).Flush()
+}
+
+// Guards against crashes that nobody notices, because no other request reaches the crashed
+// endpoint while it is down: a request that crashes endpoints is then sent on for ever.
+func TestRequestThatCrashesEndpointsIsStoppedWithoutOtherRequests(t *testing.T) {
+	const interval = 5 * time.Second
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		c := h.serveCrashingEndpoints(12, crashWay{beginAnswer: func(http.ResponseWriter) {}})
+		for range 20 {
+			h.confirmConfiguration()
+			request := h.newRequest(http.MethodPost, "/once/same", "the same body")
+			request.Header.Set("X-Blocks", poisonBlock)
+			_, _, _ = h.send(request)
+			time.Sleep(interval)
+		}
+		assert.Assert(t, len(c.crashes) <= 3+3, "%d crashes", len(c.crashes))
+	})
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -44,6 +44,7 @@
 	codec              HeaderCodec
 	dispatcher         *dispatcher.Dispatcher
 	connections        *connector.Connector
+	crashes            *crashChecker
 	meter              *meter.Meter
 	logger             hclog.Logger
 	random             func() uint64
@@ -54,7 +55,10 @@
 
 // New returns a handler that uses the random function to choose a service by weight.
 func New(codec HeaderCodec, dispatch *dispatcher.Dispatcher, connections *connector.Connector, metrics *meter.Meter, logger hclog.Logger, random func() uint64) *Relayer {
-	return &Relayer{codec: codec, dispatcher: dispatch, connections: connections, meter: metrics, logger: logger, random: random}
+	return &Relayer{
+		codec: codec, dispatcher: dispatch, connections: connections, crashes: newCrashChecker(dispatch, connections),
+		meter: metrics, logger: logger, random: random,
+	}
 }
 
 // DisableKeepAlives makes all later answers close the caller's connection, so that callers
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -68,11 +68,18 @@
 // together keep at most half of the connections that the endpoint accepts idle. This
 // instance keeps an equal share of that half.
 func (r *relayedRequest) releaseConnection(a *attempt) {
+	r.relayer.connections.Release(a.connection, a.response, r.maxIdleConnections())
+}
+
+// maxIdleConnections returns how many idle connections this instance may keep to an
+// endpoint of the request's service.
+func (r *relayedRequest) maxIdleConnections() int {
 	maxConnections := r.service.MaxConnections
 	if maxConnections <= 0 {
 		maxConnections = defaultMaxConnections
 	}
-	r.relayer.connections.Release(a.connection, a.response, r.relayer.dispatcher.LocalShare(maxConnections/2))
+
+	return r.relayer.dispatcher.LocalShare(maxConnections / 2)
 }
 
 // maxDiscardedBytes is how much of a discarded answer is read so that its connection can
