dispatcher, relayer, gossiper: Refuse prompts with a block that crashes endpoints

Cause: a request's identity was its whole content, so no two of them were the same. Change: the instances record the shared blocks of requests that were at crashes and of requests that completed, and exchange these records (pkg/isolator). Each attempt is decided anew: a prompt with a cause is refused at once, as not run (held-back, 503). A request whose endpoint crashed before it began to answer is not repeated while one of its blocks was never seen to complete.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -1,6 +1,10 @@
 package dispatcher
 
-import "time"
+import (
+	"time"
+
+	"github.com/oleanderpick/oleanderpick/pkg/isolator"
+)
 
 const (
 	// crashCorrelationWindow is the time within which a broken answer and a refused
@@ -58,10 +62,12 @@
 	})
 }
 
-// recordCrash attributes an endpoint's crash to the requests whose answers it broke off.
+// recordCrash attributes an endpoint's crash to the requests whose answers it broke off,
+// and to their prompts' blocks.
 func (d *Dispatcher) recordCrash(now time.Time, endpoint string, answers []BrokenAnswer) {
 	crashedAt := now
 	fingerprints := make([]uint64, 0, len(answers))
+	prompts := make([]isolator.Prompt, 0, len(answers))
 	var unbegunBlocks, begunBlocks []uint64
 	for _, answer := range answers {
 		if !answer.BrokenAt.IsZero() && answer.BrokenAt.Before(crashedAt) {
@@ -73,9 +79,12 @@
 			unbegunBlocks = append(unbegunBlocks, answer.Blocks...)
 		}
 		fingerprints = append(fingerprints, answer.Fingerprint)
+		prompts = append(prompts, isolator.Prompt{Blocks: answer.Blocks, HasBegun: answer.HasBegun})
 	}
 	d.quarantine.RecordCrash(now, endpoint, fingerprints)
 	d.hasSuspects.Store(true)
+	d.isolator.RecordCrash(now, crashedAt, endpoint, prompts)
 	d.logger.Warn("Endpoint crashed.", "endpoint", endpoint, "requests there", len(fingerprints), "age ms", now.Sub(crashedAt).Milliseconds(),
 		"blocks of unbegun answers", FormatBlocks(unbegunBlocks), "blocks of begun answers", FormatBlocks(begunBlocks))
+	d.reportCauses(now, "crash")
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/oleanderpick/oleanderpick/pkg/freshener"
+	"github.com/oleanderpick/oleanderpick/pkg/isolator"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
@@ -83,6 +84,9 @@
 	placer              *placer.Placer
 	repeatLimiter       *retrier.RepeatLimiter
 	quarantine          *quarantiner.Quarantiner
+	isolator            *isolator.Isolator
+	quarantinedBlocks   string      // the causes that isolator found, as they were last logged
+	hasBlockRecords     atomic.Bool // whether isolator has records
 	throttler           *throttler.Throttler
 	hasLimits           atomic.Bool // whether throttler has records
 	permitSource        PermitSource
@@ -115,6 +119,7 @@
 		placer:        placer.New(placer.Settings{InstanceName: settings.Name, DataCentre: settings.DataCentre}),
 		repeatLimiter: retrier.NewRepeatLimiter(settings.RepeatLimits),
 		quarantine:    quarantiner.New(quarantiner.DefaultSettings()),
+		isolator:      isolator.New(isolator.DefaultSettings(), settings.Name),
 		throttler:     throttler.New(clock.Now(), settings.Name),
 		brokenAnswers: map[string][]BrokenAnswer{},
 		onLoadChange:  func(string, placer.Load) {},
--- a/internal/dispatcher/load_change_test.go
+++ b/internal/dispatcher/load_change_test.go
@@ -27,7 +27,7 @@
 	placement, ok := d.Place(t.Context(), placer.Request{Service: "llm", PromptTokens: 100, Tier: 2}, true)
 	assert.Assert(t, ok)
 	d.RecordFirstEvent(placement)
-	d.RecordResult(placement, placer.Finished)
+	d.RecordResult(placement, placer.Finished, nil)
 	cancel()
 	<-d.Done()
 	assert.DeepEqual(t, reported, []placer.Load{
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oleanderpick/oleanderpick/pkg/isolator"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 )
@@ -24,6 +25,8 @@
 	Demands map[string]placer.Demand
 	// Suspects are the requests that may have crashed endpoints.
 	Suspects []quarantiner.Entry
+	// Blocks are the prompt blocks that were present when endpoints crashed.
+	Blocks []isolator.Record
 	// Versions are those of the sender's configuration and endpoints.
 	Versions Versions
 }
@@ -76,6 +79,7 @@
 			d.addLoads(now, &message)
 		}
 		message.Suspects = d.suspectsToShare(now)
+		message.Blocks = d.blocksToShare(now)
 		configurationAge, endpointsAge := d.dataAges()
 		if configurationAge >= 0 {
 			message.Versions.ConfigurationNumber, message.Versions.ConfigurationAge = d.currentMatcher.Load().Number(), configurationAge
@@ -100,7 +104,7 @@
 	message.Demands = d.placer.LocalDemands(now)
 }
 
-// ReceiveMessage records a peer's loads, prefills, demands and suspects. It does not use the
+// ReceiveMessage records a peer's loads, prefills, demands, suspects and blocks. It does not use the
 // message's versions: pass those to ReceiveVersions.
 func (d *Dispatcher) ReceiveMessage(peer string, message Message) {
 	d.runAndWait(func() {
@@ -113,6 +117,7 @@
 		}
 		d.placer.ReceivePrefills(message.Prefills)
 		d.mergeSuspects(d.clock.Now(), message.Suspects)
+		d.mergeBlocks(d.clock.Now(), message.Blocks)
 	})
 }
 
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -121,9 +121,11 @@
 	return silence
 }
 
-// RecordResult records how the attempt ended.
-func (d *Dispatcher) RecordResult(placement Placement, result placer.Result) {
+// RecordResult records how the attempt ended. completedBlocks are the shared blocks of its
+// prompt if it ran to completion.
+func (d *Dispatcher) RecordResult(placement Placement, result placer.Result, completedBlocks []uint64) {
 	d.runAndWait(func() {
+		d.recordCompletedBlocks(completedBlocks)
 		d.placer.RecordResult(d.clock.Now(), placement.attemptID, result)
 		d.reportLoadChange(placement)
 	})
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -56,6 +56,7 @@
 	for _, entry := range state.Suspects {
 		message.Suspects = append(message.Suspects, encodeSuspect(now, entry))
 	}
+	message.Blocks = encodeBlocks(now, state.Blocks)
 
 	return message
 }
@@ -172,6 +173,7 @@
 	for _, suspect := range message.GetSuspects() {
 		decoded.Suspects = append(decoded.Suspects, decodeSuspect(now, suspect))
 	}
+	decoded.Blocks = decodeBlocks(now, message.GetBlocks())
 	decoded.Versions = dispatcher.Versions{
 		ConfigurationNumber: message.GetNumber(),
 		ConfigurationAge:    time.Duration(message.GetAgeMs()) * time.Millisecond,
--- a/internal/gossiper/permit_test.go
+++ b/internal/gossiper/permit_test.go
@@ -24,7 +24,7 @@
 		d := instances[i%len(instances)].dispatcher
 		if placement, ok := d.Place(t.Context(), placer.Request{Service: "s"}, true); ok {
 			placed = append(placed, time.Now())
-			d.RecordResult(placement, placer.Finished)
+			d.RecordResult(placement, placer.Finished, nil)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -140,12 +140,9 @@
 	r.w.WriteHeader(response.StatusCode)
 }
 
-// recordServed logs and counts a completely forwarded answer and clears the request of
-// the suspicion that it crashes endpoints.
+// recordServed logs and counts a completely forwarded answer.
 func (r *relayedRequest) recordServed(a *attempt) {
-	if r.relayer.dispatcher.HasSuspects() {
-		r.relayer.dispatcher.RecordCompletion(r.fingerprint())
-	}
+	r.recordCompletion(a)
 	duration := time.Since(r.receivedAt)
 	r.relayer.meter.RecordDuration(r.route.Kind.String(), duration)
 	r.relayer.logger.Info("Answered.", "request", r.metadata.ID, "route", r.route.Name, "endpoint", a.placement.EndpointID,
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -38,6 +38,8 @@
 	mayHaveRun    bool
 	result        placer.Result
 	stallDetector *stallDetector
+	// completedBlocks are the shared blocks of the prompt if the whole answer came.
+	completedBlocks []uint64
 	// crashCheck is a check whether the endpoint crashed; nil if there was no reason for one.
 	crashCheck *crashCheck
 	// failureCause is why there is no answer to forward; nil if there is one.
@@ -63,6 +65,11 @@
 // relay sends the request to one endpoint after another until it has its final answer.
 func (r *relayedRequest) relay(ctx context.Context) {
 	for first := true; ; first = false {
+		if r.isQuarantined() {
+			r.finishQuarantined(ctx)
+
+			return
+		}
 		placement, ok := r.relayer.dispatcher.Place(ctx, r.placementRequest, first)
 		if !ok {
 			r.finishUnplaced(ctx, placement.RetryAfter)
@@ -82,6 +89,15 @@
 	}
 }
 
+// finishQuarantined ends a request whose prompt has a block that crashes endpoints.
+func (r *relayedRequest) finishQuarantined(ctx context.Context) {
+	kind := answerer.KindHeldBack
+	if r.mayHaveRun {
+		kind = answerer.KindUncertain
+	}
+	r.finishUnanswered(ctx, kind, quarantineRetryAfter)
+}
+
 // finishUnplaced ends a request for which there is no endpoint. If that is because the
 // endpoints have reached their limits, retryAfter is the time until one may get a request
 // again.
@@ -110,7 +126,7 @@
 // attempt panics to close the caller's connection.
 func (r *relayedRequest) makeAttempt(ctx context.Context, placement dispatcher.Placement) *attempt {
 	a := &attempt{placement: placement}
-	defer func() { r.relayer.dispatcher.RecordResult(placement, a.result) }()
+	defer func() { r.relayer.dispatcher.RecordResult(placement, a.result, a.completedBlocks) }()
 	r.sendAndReceive(ctx, a)
 
 	return a
@@ -153,6 +169,8 @@
 	switch {
 	case errors.Is(a.failureCause, errStaleConfiguration) && !r.mayHaveRun:
 		reason = retrier.ReasonNotRetryable
+	case r.isBlockedRepeat(ctx, a):
+		reason = retrier.ReasonQuarantined
 	case errors.Is(a.failureCause, errStalled):
 		reason = retrier.ReasonNone // The stall detector has taken the repeat from the limit.
 	case ctx.Err() == nil:
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -11,6 +11,7 @@
 
 	"github.com/oleanderpick/oleanderpick/internal/connector"
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/pkg/isolator"
 )
 
 // crashChecker finds out whether endpoints whose answers broke off have crashed, by opening
@@ -79,3 +80,72 @@
 	})
 	a.crashCheck = r.relayer.crashes.check(a.placement, r.maxIdleConnections(), wasSilent)
 }
+
+// isBlockedRepeat reports whether the request may not be sent to another endpoint after an
+// attempt, because it may be the one that crashed the endpoint. It waits until a check of
+// the endpoint has ended.
+func (r *relayedRequest) isBlockedRepeat(ctx context.Context, a *attempt) bool {
+	if a.crashCheck == nil || a.hasBegun {
+		return false
+	}
+	select {
+	case <-a.crashCheck.done:
+	case <-ctx.Done():
+		return false
+	}
+
+	return a.crashCheck.isDown && !r.relayer.dispatcher.MayRepeatBlocks(r.metadata.SharedBlocks())
+}
+
+// isQuarantined reports whether the request may not be sent to an endpoint now, because its
+// prompt has a block that crashes endpoints. A request on trial stays allowed until it may
+// have run.
+func (r *relayedRequest) isQuarantined() bool {
+	if r.isOnTrial && !r.mayHaveRun {
+		return false
+	}
+	verdict := r.relayer.dispatcher.DecideBlocks(r.metadata.SharedBlocks())
+	r.isOnTrial = verdict == isolator.Trial
+	if verdict != isolator.Allowed {
+		r.relayer.logger.Info("Prompt has a block that crashes endpoints.", "request", r.metadata.ID, "blocks", dispatcher.FormatBlocks(r.metadata.SharedBlocks()),
+			"trial", r.isOnTrial, "may have run", r.mayHaveRun)
+	}
+
+	return verdict == isolator.Quarantined
+}
+
+// recordCompletion records that a whole answer came, so that neither the request nor the
+// blocks of its prompt crash endpoints. Only a success shows that for the blocks. An answer
+// that ends with its connection may have been ended by a crash: once endpoints have
+// crashed, it counts only if its endpoint still accepts connections.
+func (r *relayedRequest) recordCompletion(a *attempt) {
+	dispatch := r.relayer.dispatcher
+	var blocks []uint64
+	if a.response.StatusCode/100 == 2 && (a.hasBegun || !isEventStream(a.response.Header)) {
+		blocks = r.metadata.SharedBlocks()
+	}
+	if !endsWithConnection(a.response) {
+		a.completedBlocks = blocks
+		if dispatch.HasSuspects() {
+			dispatch.RecordCompletion(r.fingerprint())
+		}
+
+		return
+	}
+	fingerprint := r.fingerprint()
+	dispatch.RecordBrokenAnswer(a.placement, dispatcher.BrokenAnswer{
+		Fingerprint: fingerprint, Blocks: r.metadata.SharedBlocks(), HasBegun: a.hasBegun, BrokenAt: time.Now(),
+	})
+	if !dispatch.HasSuspects() && !dispatch.HasBlockRecords() {
+		a.completedBlocks = blocks
+
+		return
+	}
+	check := r.relayer.crashes.check(a.placement, r.maxIdleConnections(), false)
+	go func() {
+		if <-check.done; !check.isDown {
+			dispatch.RecordCompletion(fingerprint)
+			dispatch.RecordCompletedBlocks(blocks)
+		}
+	}()
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -104,6 +104,7 @@
 	unsentAttempts   int           // attempts for which no connection could be opened
 	mayHaveRun       bool          // true if possibleRuns > 0
 	endpointFailure  *endpointFailure
+	isOnTrial        bool // allowed to find out whether a block still crashes endpoints
 }
 
 // ServeHTTP relays one request to an endpoint and forwards the answer.
--- a/pkg/retrier/history.go
+++ b/pkg/retrier/history.go
@@ -41,6 +41,9 @@
 	// ReasonRefusals means that too many endpoints refused the request or
 	// accepted no connection.
 	ReasonRefusals = "refusals"
+	// ReasonQuarantined means that the request may be the one that crashed its
+	// endpoint.
+	ReasonQuarantined = "quarantined"
 )
 
 // CheckRepeat returns the reason why the request may not be repeated. With
