--- a/internal/gossiper/block.go
+++ b/internal/blockencoder/encoder.go
@@ -1,23 +1,26 @@
-package gossiper
+// Package blockencoder encodes and decodes what instances tell each other of prompt blocks
+// that may crash endpoints.
+package blockencoder
 
 import (
+	"math"
 	"time"
 
-	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
+	"github.com/oleanderpick/oleanderpick/internal/blockencoder/blockwire"
 	"github.com/oleanderpick/oleanderpick/pkg/isolator"
 )
 
-// encodeBlocks returns the wire form of records of prompt blocks, with times as ages.
-func encodeBlocks(now time.Time, records []isolator.Record) []*gossipwire.Block {
-	encoded := make([]*gossipwire.Block, 0, len(records))
+// Encode returns the wire form of records of prompt blocks, with times as ages at now.
+func Encode(now time.Time, records []isolator.Record) []*blockwire.Block {
+	encoded := make([]*blockwire.Block, 0, len(records))
 	for _, record := range records {
-		block := &gossipwire.Block{
+		block := &blockwire.Block{
 			Id: record.Block, Companions: record.Companions,
 			CompletedAgeMs: encodeAge(now, record.LastCompletedAt), RefusedAgeMs: encodeAge(now, record.LastRefusedAt),
 			TrialAgeMs: encodeAge(now, record.LastTrialAt), Trials: uint32(record.Trials), Strong: uint32(record.StrongTrials),
 		}
 		for _, crash := range record.Crashes {
-			block.Crashes = append(block.Crashes, &gossipwire.BlockCrash{
+			block.Crashes = append(block.Crashes, &blockwire.BlockCrash{
 				Endpoint: crash.EndpointID, AgeMs: toMilliseconds(now.Sub(crash.At)), Begun: crash.HasBegun,
 			})
 		}
@@ -27,8 +30,8 @@
 	return encoded
 }
 
-// decodeBlocks returns records of prompt blocks from their wire form.
-func decodeBlocks(now time.Time, blocks []*gossipwire.Block) []isolator.Record {
+// Decode returns records of prompt blocks from a message that was received at now.
+func Decode(now time.Time, blocks []*blockwire.Block) []isolator.Record {
 	records := make([]isolator.Record, 0, len(blocks))
 	for _, block := range blocks {
 		record := isolator.Record{
@@ -55,7 +58,7 @@
 	return max(1, toMilliseconds(now.Sub(at)))
 }
 
-// maxTransitTime is the longest time that a message is on its way, usually.
+// maxTransitTime is longer than a message is usually on its way.
 const maxTransitTime = 300 * time.Millisecond
 
 // decodeAge returns the time of an age that a peer sent in a message received at now. The
@@ -68,3 +71,8 @@
 
 	return now.Add(-time.Duration(ageMs)*time.Millisecond - maxTransitTime)
 }
+
+// toMilliseconds returns a duration in milliseconds, at least 0.
+func toMilliseconds(age time.Duration) uint32 {
+	return uint32(min(max(0, age.Milliseconds()), math.MaxUint32))
+}
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/oleanderpick/oleanderpick/internal/blockencoder"
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
@@ -56,7 +57,7 @@
 	for _, entry := range state.Suspects {
 		message.Suspects = append(message.Suspects, encodeSuspect(now, entry))
 	}
-	message.Blocks = encodeBlocks(now, state.Blocks)
+	message.Blocks = blockencoder.Encode(now, state.Blocks)
 
 	return message
 }
@@ -173,7 +174,7 @@
 	for _, suspect := range message.GetSuspects() {
 		decoded.Suspects = append(decoded.Suspects, decodeSuspect(now, suspect))
 	}
-	decoded.Blocks = decodeBlocks(now, message.GetBlocks())
+	decoded.Blocks = blockencoder.Decode(now, message.GetBlocks())
 	decoded.Versions = dispatcher.Versions{
 		ConfigurationNumber: message.GetNumber(),
 		ConfigurationAge:    time.Duration(message.GetAgeMs()) * time.Millisecond,
