isolator: Allow two failed trials of a block, however many of its crashes are known

Cause: trials of a block with fewer than five known crashes were not limited. Change: the trials after which an endpoint crashed are counted, whatever the number of crashes, and after two there are no more while requests keep coming. The blocks in quarantine can be read from an archive after a restart; the test plays that the platform keeps it.

--- a/internal/blockencoder/encoder.go
+++ b/internal/blockencoder/encoder.go
@@ -17,7 +17,7 @@
 		block := &blockwire.Block{
 			Id: record.Block, Companions: record.Companions,
 			CompletedAgeMs: encodeAge(now, record.LastCompletedAt), RefusedAgeMs: encodeAge(now, record.LastRefusedAt),
-			TrialAgeMs: encodeAge(now, record.LastTrialAt), Trials: uint32(record.Trials), Strong: uint32(record.StrongTrials),
+			TrialAgeMs: encodeAge(now, record.LastTrialAt), Trials: uint32(record.Trials), Failed: uint32(record.FailedTrials),
 		}
 		for _, crash := range record.Crashes {
 			block.Crashes = append(block.Crashes, &blockwire.BlockCrash{
@@ -37,7 +37,7 @@
 		record := isolator.Record{
 			Block: block.GetId(), Companions: block.GetCompanions(),
 			LastCompletedAt: decodeAge(now, block.GetCompletedAgeMs()), LastRefusedAt: decodeAge(now, block.GetRefusedAgeMs()),
-			LastTrialAt: decodeAge(now, block.GetTrialAgeMs()), Trials: int(block.GetTrials()), StrongTrials: int(block.GetStrong()),
+			LastTrialAt: decodeAge(now, block.GetTrialAgeMs()), Trials: int(block.GetTrials()), FailedTrials: int(block.GetFailed()),
 		}
 		for _, crash := range block.GetCrashes() {
 			at := now.Add(-time.Duration(crash.GetAgeMs()) * time.Millisecond)
--- a/internal/blockencoder/encoder_test.go
+++ b/internal/blockencoder/encoder_test.go
@@ -16,7 +16,7 @@
 	const transit = 200 * time.Millisecond
 	sentAt := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
 	sent := isolator.Record{
-		Block: 1 << 60, Companions: []uint64{3, 4}, Trials: 3, StrongTrials: 2,
+		Block: 1 << 60, Companions: []uint64{3, 4}, Trials: 3, FailedTrials: 2,
 		Crashes: []isolator.Crash{{EndpointID: 7, At: sentAt.Add(-time.Minute)}, {EndpointID: 8, At: sentAt.Add(-time.Second), HasBegun: true}},
 
 		LastCompletedAt: sentAt.Add(-time.Hour), LastTrialAt: sentAt.Add(-30 * time.Second), LastRefusedAt: sentAt,
--- a/pkg/isolator/fleet_test.go
+++ b/pkg/isolator/fleet_test.go
@@ -20,6 +20,9 @@
 	mayRepeat(blocks []uint64) bool
 	// receive merges what a peer knows.
 	receive(now time.Time, peer finder)
+	// archive returns what the platform keeps, and restore reads it after a restart.
+	archive(now time.Time) []isolator.Record
+	restore(now time.Time, archived []isolator.Record)
 }
 
 // scenario is what happens to a simulated fleet.
@@ -34,6 +37,7 @@
 	newsLoss                  float64   // share of the messages between instances
 	singleDeaths, massDeaths  int       // deaths of endpoints without a cause
 	restarts, cuts, lateNames int       // instances that restart, are cut off, exchange messages rarely
+	fleetRestarts             int       // restarts of all instances at once
 	trialsAlone               bool
 	sparse                    time.Duration
 }
@@ -118,6 +122,7 @@
 	arrivals   [][]time.Time // at endpoints, by poison block, from instances in touch
 	sent       [][]time.Time // to instances, by poison block
 	rounds     int
+	archived   []isolator.Record
 }
 
 func newFleet(s scenario, newFinder func(name string) finder) *fleet {
@@ -150,6 +155,9 @@
 		if f.rounds++; f.rounds%int(round/tick) == 0 {
 			f.exchangeMessages()
 		}
+		if f.rounds%int(time.Second/tick) == 0 {
+			f.archive()
+		}
 	}
 	for end := f.now.Add(f.scenario.sparse); f.now.Before(end); {
 		f.now = f.now.Add(sparseTick)
@@ -165,41 +173,6 @@
 	}
 }
 
-type fault struct {
-	at     time.Time
-	happen func()
-}
-
-// drawFaults returns the deaths of endpoints and the faults of instances in their order.
-func (f *fleet) drawFaults() []fault {
-	var faults []fault
-	add := func(count int, happen func()) {
-		for range count {
-			at := start.Add(time.Duration(f.random.Float64() * float64(warmUp+dense)))
-			faults = append(faults, fault{at: at, happen: happen})
-		}
-	}
-	s := f.scenario
-	add(s.singleDeaths, func() { f.crash(f.randomEndpoint()) })
-	add(s.massDeaths, func() {
-		for range max(2, s.endpointCount/4) {
-			f.crash(f.randomEndpoint())
-		}
-	})
-	add(s.restarts, func() {
-		i := f.random.IntN(len(f.instances))
-		f.instances[i].finder, f.instances[i].touchedAt = f.newFinder(fmt.Sprint("instance-", i)), f.now
-	})
-	add(s.cuts, func() {
-		cut := f.instances[f.random.IntN(len(f.instances))]
-		cut.cutUntil = f.now.Add(time.Duration(2+f.random.IntN(6)) * time.Second)
-		cut.touchedAt = cut.cutUntil
-	})
-	slices.SortFunc(faults, func(a, b fault) int { return a.at.Compare(b.at) })
-
-	return faults
-}
-
 func (f *fleet) randomEndpoint() *endpoint {
 	return f.endpoints[f.random.IntN(len(f.endpoints))]
 }
@@ -327,39 +300,10 @@
 	}
 }
 
-// crash ends an endpoint and the answers that it was sending. The instances notice it at
-// once, or after a silence, or only the one whose request was answered last.
-func (f *fleet) crash(e *endpoint) {
-	if f.now.Before(e.downUntil) {
-		return
-	}
-	e.downUntil = f.now.Add(2*time.Second + time.Duration(f.random.IntN(3000))*time.Millisecond)
-	runs := e.runs
-	e.runs = nil
-	onlyOne, silent := f.random.Float64() < f.scenario.oneSees, f.random.Float64() < f.scenario.silent
-	for i := range f.instances {
-		d := detection{instance: i, endpoint: e.name}
-		for _, r := range runs {
-			isCause := r.poison >= 0 && !f.now.Before(r.beginsAt)
-			if r.instance != i || (onlyOne && !isCause) {
-				continue
-			}
-			r.hasBegun = r.poison < 0 && !f.now.Before(r.beginsAt)
-			d.prompts = append(d.prompts, isolator.Prompt{Blocks: r.blocks, HasBegun: r.hasBegun})
-			if r.runs < f.scenario.maxRuns {
-				d.repeats = append(d.repeats, r)
-			}
-		}
-		if len(d.prompts) == 0 {
-			continue
-		}
-		d.at = f.now.Add(time.Duration(5+f.random.IntN(50)) * time.Millisecond)
-		d.crashAt = d.at
-		if silent {
-			d.crashAt = f.now.Add(-time.Duration(f.random.IntN(100)) * time.Millisecond)
-			d.at = f.now.Add(time.Second + time.Duration(f.random.IntN(1000))*time.Millisecond)
-		}
-		f.detections = append(f.detections, d)
+// archive lets the first instance write to the platform what is to outlast a restart.
+func (f *fleet) archive() {
+	if records := f.instances[0].finder.archive(f.now); len(records) > 0 {
+		f.archived = records
 	}
 }
 
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -120,9 +120,6 @@
 		}
 		c.record.LastTrialAt = now
 		c.record.Trials++
-		if len(c.record.Crashes) >= i.settings.StrongCrashes {
-			c.record.StrongTrials++
-		}
 	}
 }
 
@@ -143,12 +140,12 @@
 // trialDueAt returns when this instance may next allow a request with a cause as a trial;
 // false if there are no more trials.
 func (i *Isolator) trialDueAt(r *Record) (dueAt time.Time, ok bool) {
-	latest := laterOf(r.latestCrashAt(), r.LastTrialAt).Add(i.trialOffset)
-	if len(r.Crashes) < i.settings.StrongCrashes {
-		return latest.Add(i.settings.FirstTrialDelay << min(r.Trials, maxDelayDoublings)), true
+	delay := i.settings.TrialDelay << min(r.Trials, maxDelayDoublings)
+	if r.Trials == 0 && len(r.Crashes) < i.settings.StrongCrashes {
+		delay = i.settings.FirstTrialDelay
 	}
 
-	return latest.Add(i.settings.StrongTrialDelay << min(r.StrongTrials, maxDelayDoublings)), r.StrongTrials < i.settings.MaxStrongTrials
+	return laterOf(r.latestCrashAt(), r.LastTrialAt).Add(delay + i.trialOffset), r.FailedTrials < i.settings.MaxFailedTrials
 }
 
 // IsEmpty reports whether there are no records.
@@ -241,6 +238,18 @@
 	return copied
 }
 
+// CauseRecords returns the records of the causes, in the order of their blocks.
+func (i *Isolator) CauseRecords(now time.Time) []Record {
+	causes := i.currentCauses(now)
+	records := make([]Record, 0, len(causes))
+	for _, c := range causes {
+		records = append(records, c.record.clone())
+	}
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Block, b.Block) })
+
+	return records
+}
+
 // maxClockError is how far in the future the events of another instance's record may be.
 const maxClockError = 30 * time.Second
 
--- a/pkg/isolator/property_test.go
+++ b/pkg/isolator/property_test.go
@@ -44,6 +44,10 @@
 	}
 }
 
+func (i isolating) archive(now time.Time) []isolator.Record { return i.CauseRecords(now) }
+
+func (i isolating) restore(now time.Time, archived []isolator.Record) { i.Merge(now, archived) }
+
 func newIsolating(name string) finder {
 	return isolating{isolator.New(isolator.DefaultSettings(), name)}
 }
@@ -62,6 +66,7 @@
 		singleDeaths:  rapid.SampledFrom([]int{0, 5, 15}).Draw(r, "deaths"),
 		massDeaths:    rapid.IntRange(0, 2).Draw(r, "mass deaths"),
 		restarts:      rapid.IntRange(0, 3).Draw(r, "restarts"),
+		fleetRestarts: rapid.SampledFrom([]int{0, 0, 1}).Draw(r, "fleet restarts"),
 		cuts:          rapid.IntRange(0, 2).Draw(r, "cuts"),
 		lateNames:     rapid.IntRange(0, 2).Draw(r, "late"),
 		sparse:        rapid.SampledFrom([]time.Duration{0, 40 * time.Minute}).Draw(r, "sparse"),
--- a/pkg/isolator/record.go
+++ b/pkg/isolator/record.go
@@ -55,9 +55,9 @@
 	LastRefusedAt time.Time
 	// LastTrialAt is when a request with the block was last allowed as a trial.
 	LastTrialAt time.Time
-	// Trials is the number of trials, StrongTrials that of the trials since the block
-	// counts as a certain cause.
-	Trials, StrongTrials int
+	// Trials is the number of trials, FailedTrials that of those after which an endpoint
+	// crashed.
+	Trials, FailedTrials int
 }
 
 // clone returns a copy that shares no memory with r.
@@ -107,6 +107,9 @@
 
 		return changed
 	}
+	if !r.LastTrialAt.IsZero() && crash.At.After(r.LastTrialAt) && !r.latestCrashAt().After(r.LastTrialAt) {
+		r.FailedTrials++
+	}
 	index, _ := slices.BinarySearchFunc(r.Crashes, crash, Crash.compare)
 	r.Crashes = slices.Insert(r.Crashes, index, crash)
 	if len(r.Crashes) > maxCrashes {
@@ -124,7 +127,7 @@
 	}
 	r.LastCompletedAt = at
 	r.Crashes = slices.DeleteFunc(r.Crashes, func(crash Crash) bool { return !crash.At.After(at) })
-	r.Trials, r.StrongTrials = 0, 0
+	r.Trials, r.FailedTrials = 0, 0
 	if len(r.Crashes) == 0 {
 		r.Companions = nil
 	}
@@ -142,7 +145,7 @@
 	}
 	if other.LastTrialAt.After(r.LastCompletedAt) {
 		r.Trials = max(r.Trials, other.Trials)
-		r.StrongTrials = max(r.StrongTrials, other.StrongTrials)
+		r.FailedTrials = max(r.FailedTrials, other.FailedTrials)
 	}
 	r.LastRefusedAt = laterOf(r.LastRefusedAt, other.LastRefusedAt)
 	r.LastTrialAt = laterOf(r.LastTrialAt, other.LastTrialAt)
--- a/pkg/isolator/settings.go
+++ b/pkg/isolator/settings.go
@@ -10,15 +10,16 @@
 	// refused request.
 	CauseTTL time.Duration
 	// FirstTrialDelay is the time from the latest crash to the first trial of a cause with
-	// fewer crashes than StrongCrashes. Each trial doubles the delay of the next one.
+	// fewer crashes than StrongCrashes.
 	FirstTrialDelay time.Duration
-	// StrongTrialDelay is the same for a cause with StrongCrashes or more, which gets
-	// MaxStrongTrials at the most.
-	StrongTrialDelay time.Duration
+	// TrialDelay is the time to any other trial. Each trial doubles the delay of the next
+	// one.
+	TrialDelay time.Duration
 	// StrongCrashes is the number of crashes from which on a cause counts as certain.
 	StrongCrashes int
-	// MaxStrongTrials is the number of trials of a cause since it counts as certain.
-	MaxStrongTrials int
+	// MaxFailedTrials is the number of trials that end in a crash after which there are no
+	// more while requests keep coming.
+	MaxFailedTrials int
 	// TrialSpread is the range of a random delay, different on each instance, by which a
 	// trial is made later, so that other instances hear of it before theirs.
 	TrialSpread time.Duration
@@ -36,9 +37,9 @@
 		RecordTTL:          10 * time.Minute,
 		CauseTTL:           time.Hour,
 		FirstTrialDelay:    time.Minute,
-		StrongTrialDelay:   10 * time.Minute,
+		TrialDelay:         10 * time.Minute,
 		StrongCrashes:      5,
-		MaxStrongTrials:    2,
+		MaxFailedTrials:    2,
 		TrialSpread:        30 * time.Second,
 		MaxRecords:         1024,
 		MaxCompletedBlocks: 4096,
--- a/pkg/isolator/ways_test.go
+++ b/pkg/isolator/ways_test.go
@@ -112,6 +112,10 @@
 	}
 }
 
+func (c *counting) archive(time.Time) []isolator.Record { return nil }
+
+func (c *counting) restore(time.Time, []isolator.Record) {}
+
 // wayScenarios is how often TestWaysToFindPoisonBlock plays each scenario, with other draws.
 var wayScenarios = flag.Int("ways", 1, "plays of each scenario")
 
