archiver, dispatcher, platform: Keep the blocks in quarantine on the platform

Cause: after all instances have restarted at once, nobody knows a block any more, and it crashes endpoints again until it is found once more; each such restart adds to the requests after the fifth crash. Change: the first live instance by name writes the blocks in quarantine to an object of our own when they change, and every minute while there are any, in case the platform has lost it; every instance reads it when it starts. Nobody waits for it. Evidence: TestQuarantineOutlastsRestartOfAllInstances, TestArchiveIsReadAfterAnOutage, TestEndedQuarantineIsNotRestored, TestQuarantineIsKeptInThePlatformsStore.

--- a/internal/dispatcher/block.go
+++ b/internal/dispatcher/block.go
@@ -87,6 +87,24 @@
 	d.reportCauses(now, "peer")
 }
 
+// QuarantinedBlocks returns the records of the blocks in quarantine, and whether this
+// instance is the first live one by name.
+func (d *Dispatcher) QuarantinedBlocks() (records []isolator.Record, isFirst bool) {
+	d.runAndWait(func() {
+		isFirst = d.rank == 0
+		if d.HasBlockRecords() {
+			records = d.isolator.CauseRecords(d.clock.Now())
+		}
+	})
+
+	return records, isFirst
+}
+
+// RestoreBlocks adds records of blocks that were archived.
+func (d *Dispatcher) RestoreBlocks(records []isolator.Record) {
+	d.runAndWait(func() { d.mergeBlocks(d.clock.Now(), records) })
+}
+
 // reportCauses logs the blocks in quarantine if they have changed, and why they have.
 func (d *Dispatcher) reportCauses(now time.Time, source string) {
 	if d.isolator.IsEmpty() && !d.HasBlockRecords() {
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -16,6 +16,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/oleanderpick/oleanderpick/internal/announcer"
+	"github.com/oleanderpick/oleanderpick/internal/archiver"
 	"github.com/oleanderpick/oleanderpick/internal/common/clock"
 	"github.com/oleanderpick/oleanderpick/internal/configurer"
 	"github.com/oleanderpick/oleanderpick/internal/connector"
@@ -49,6 +50,8 @@
 	watcher.ObjectDecoder
 	// InstanceKind returns the kind of the objects by which instances register.
 	InstanceKind() string
+	// QuarantineKind returns the kind of the object that keeps the blocks in quarantine.
+	QuarantineKind() string
 }
 
 // Platform describes the protocols of the platform that an instance runs on.
@@ -123,7 +126,10 @@
 		Kind: platform.Decoder.InstanceKind(), Name: settings.Name, Address: settings.PeerListen,
 		RetryDelay: announcer.DefaultRetryDelay, ListInterval: announcer.DefaultListInterval,
 	}, store, r.gossiper.AddAddresses, logger.Named("announcer"))
-	r.buildSupervisor(logger.Named("supervisor"), platformWatcher, instanceAnnouncer)
+	blockArchiver := archiver.New(archiver.Settings{
+		Kind: platform.Decoder.QuarantineKind(), CheckInterval: archiver.DefaultCheckInterval, RewriteInterval: archiver.DefaultRewriteInterval,
+	}, store, r.dispatcher, logger.Named("archiver"))
+	r.buildSupervisor(logger.Named("supervisor"), platformWatcher, instanceAnnouncer, blockArchiver)
 
 	return r
 }
