--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -98,7 +98,7 @@
 		if !c.isIn(blocks) {
 			continue
 		}
-		if dueAt, ok := i.trialDueAt(c.record); !ok || now.Before(dueAt) {
+		if now.Before(i.trialDueAt(c.record)) {
 			c.record.LastRefusedAt = now
 
 			return Quarantined
@@ -137,15 +137,17 @@
 // maxDelayDoublings limits the growth of the delay between trials.
 const maxDelayDoublings = 6
 
-// trialDueAt returns when this instance may next allow a request with a cause as a trial;
-// false if there are no more trials.
-func (i *Isolator) trialDueAt(r *Record) (dueAt time.Time, ok bool) {
+// trialDueAt returns when this instance may next allow a request with a cause as a trial.
+func (i *Isolator) trialDueAt(r *Record) time.Time {
 	delay := i.settings.TrialDelay << min(r.Trials, maxDelayDoublings)
-	if r.Trials == 0 && len(r.Crashes) < i.settings.StrongCrashes {
+	switch {
+	case r.FailedTrials >= i.settings.MaxFailedTrials:
+		delay = i.settings.LateTrialDelay
+	case r.Trials == 0 && len(r.Crashes) < i.settings.StrongCrashes:
 		delay = i.settings.FirstTrialDelay
 	}
 
-	return laterOf(r.latestCrashAt(), r.LastTrialAt).Add(delay + i.trialOffset), r.FailedTrials < i.settings.MaxFailedTrials
+	return laterOf(r.latestCrashAt(), r.LastTrialAt).Add(delay + i.trialOffset)
 }
 
 // IsEmpty reports whether there are no records.
--- a/pkg/isolator/settings.go
+++ b/pkg/isolator/settings.go
@@ -7,7 +7,7 @@
 	// RecordTTL is how long a record without a cause is kept after its latest event.
 	RecordTTL time.Duration
 	// CauseTTL is how long the record of a cause is kept after its latest event, such as a
-	// refused request.
+	// refused request. It is longer than LateTrialDelay.
 	CauseTTL time.Duration
 	// FirstTrialDelay is the time from the latest crash to the first trial of a cause with
 	// fewer crashes than StrongCrashes.
@@ -17,9 +17,10 @@
 	TrialDelay time.Duration
 	// StrongCrashes is the number of crashes from which on a cause counts as certain.
 	StrongCrashes int
-	// MaxFailedTrials is the number of trials that end in a crash after which there are no
-	// more while requests keep coming.
+	// MaxFailedTrials is the number of trials that end in a crash after which trials are
+	// LateTrialDelay apart.
 	MaxFailedTrials int
+	LateTrialDelay  time.Duration
 	// TrialSpread is the range of a random delay, different on each instance, by which a
 	// trial is made later, so that other instances hear of it before theirs.
 	TrialSpread time.Duration
@@ -35,11 +36,12 @@
 func DefaultSettings() Settings {
 	return Settings{
 		RecordTTL:          10 * time.Minute,
-		CauseTTL:           time.Hour,
+		CauseTTL:           48 * time.Hour,
 		FirstTrialDelay:    time.Minute,
 		TrialDelay:         10 * time.Minute,
 		StrongCrashes:      5,
 		MaxFailedTrials:    2,
+		LateTrialDelay:     24 * time.Hour,
 		TrialSpread:        30 * time.Second,
 		MaxRecords:         1024,
 		MaxCompletedBlocks: 4096,
