gossiper: Keep the times of suspects from becoming later with each message

What callers saw: nothing reported. Cause, found by reading: a peer took the age of a suspect's last completion from the moment of receipt, so that the time grew by the message's transit each time it was passed on. Cleared suspects never expired: every request was hashed and looked up, and every message carried them. Change: the age is decoded as no later than meant, as the other times are. Evidence: TestClearedSuspectsExpireInAFleet, with messages that take 20 ms, failed before (still there after 11 minutes) and passes; TestRecordsOfBlocksExpireInAFleet guards the same for the records of blocks.

--- a/internal/blockencoder/encoder.go
+++ b/internal/blockencoder/encoder.go
@@ -3,7 +3,6 @@
 package blockencoder
 
 import (
-	"math"
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/internal/blockencoder/blockwire"
@@ -16,8 +15,8 @@
 	for _, record := range records {
 		block := &blockwire.Block{
 			Id: record.Block, Companions: record.Companions,
-			CompletedAgeMs: encodeAge(now, record.LastCompletedAt), RefusedAgeMs: encodeAge(now, record.LastRefusedAt),
-			TrialAgeMs: encodeAge(now, record.LastTrialAt), Trials: uint32(record.Trials), Failed: uint32(record.FailedTrials),
+			CompletedAgeMs: EncodeAge(now, record.LastCompletedAt), RefusedAgeMs: EncodeAge(now, record.LastRefusedAt),
+			TrialAgeMs: EncodeAge(now, record.LastTrialAt), Trials: uint32(record.Trials), Failed: uint32(record.FailedTrials),
 		}
 		for _, crash := range record.Crashes {
 			block.Crashes = append(block.Crashes, &blockwire.BlockCrash{
@@ -36,8 +35,8 @@
 	for _, block := range blocks {
 		record := isolator.Record{
 			Block: block.GetId(), Companions: block.GetCompanions(),
-			LastCompletedAt: decodeAge(now, block.GetCompletedAgeMs()), LastRefusedAt: decodeAge(now, block.GetRefusedAgeMs()),
-			LastTrialAt: decodeAge(now, block.GetTrialAgeMs()), Trials: int(block.GetTrials()), FailedTrials: int(block.GetFailed()),
+			LastCompletedAt: DecodeAge(now, block.GetCompletedAgeMs()), LastRefusedAt: DecodeAge(now, block.GetRefusedAgeMs()),
+			LastTrialAt: DecodeAge(now, block.GetTrialAgeMs()), Trials: int(block.GetTrials()), FailedTrials: int(block.GetFailed()),
 		}
 		for _, crash := range block.GetCrashes() {
 			at := now.Add(-time.Duration(crash.GetAgeMs()) * time.Millisecond)
@@ -48,31 +47,3 @@
 
 	return records
 }
-
-// encodeAge returns the age of a time in milliseconds, at least 1; 0 for the zero time.
-func encodeAge(now, at time.Time) uint32 {
-	if at.IsZero() {
-		return 0
-	}
-
-	return max(1, toMilliseconds(now.Sub(at)))
-}
-
-// maxTransitTime is longer than a message is usually on its way.
-const maxTransitTime = 300 * time.Millisecond
-
-// decodeAge returns the time of an age that a peer sent in a message received at now. The
-// result is no later than what the peer meant, so that a time which is passed on again and
-// again does not become later each time.
-func decodeAge(now time.Time, ageMs uint32) time.Time {
-	if ageMs == 0 {
-		return time.Time{}
-	}
-
-	return now.Add(-time.Duration(ageMs)*time.Millisecond - maxTransitTime)
-}
-
-// toMilliseconds returns a duration in milliseconds, at least 0.
-func toMilliseconds(age time.Duration) uint32 {
-	return uint32(min(max(0, age.Milliseconds()), math.MaxUint32))
-}
--- a/internal/gossiper/block_test.go
+++ b/internal/gossiper/block_test.go
@@ -49,7 +49,7 @@
 // Guards against records of blocks that are passed around for ever, because their times
 // become later with each message.
 func TestRecordsOfBlocksExpireInAFleet(t *testing.T) {
-	runFleet(t, 4, func(t *testing.T, _ *piper.Network, instances []testInstance, _ func() time.Duration) {
+	runFleetWithTransit(t, 4, 20*time.Millisecond, func(t *testing.T, _ *piper.Network, instances []testInstance, _ func() time.Duration) {
 		time.Sleep(time.Second)
 		instances[0].recordCrash("e1", 1, 2)
 		instances[1].recordCrash("e2", 1, 2)
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strconv"
 	"testing"
@@ -55,6 +56,21 @@
 // an in-process network. Their seeds are i0 and an address at which nobody answers.
 // The test gets a clock that also counts suspended time.
 func runFleet(t *testing.T, count int, test func(*testing.T, *piper.Network, []testInstance, func() time.Duration)) {
+	t.Helper()
+	runFleetWithTransit(t, count, 0, test)
+}
+
+// delay returns a handler that takes some time before and after another handler.
+func delay(handler http.Handler, transit time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(transit)
+		handler.ServeHTTP(w, r)
+		time.Sleep(transit)
+	})
+}
+
+// runFleetWithTransit is runFleet with messages that take some time.
+func runFleetWithTransit(t *testing.T, count int, transit time.Duration, test func(*testing.T, *piper.Network, []testInstance, func() time.Duration)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		startedAt := time.Now()
@@ -73,20 +89,22 @@
 			settings.Seeds = []string{"i0:80", "gone:80"}
 			g := gossiper.New(settings, d, decimalDecoder{}, network.Client(), meter.New(), hclog.NewNullLogger())
 			d.SetPermitSource(g)
-			network.Serve(name, g.Handler())
+			network.Serve(name, delay(g.Handler(), transit))
 			ctx, cancel := context.WithCancel(context.Background())
 			go func() { _ = d.Serve(ctx) }()
 			go func() { _ = g.Serve(ctx) }()
 			instances = append(instances, testInstance{d, g, cancel})
 		}
+		defer func() {
+			for _, i := range instances {
+				i.stop()
+				<-i.gossiper.Done()
+				<-i.dispatcher.Done()
+			}
+			network.Close()
+			time.Sleep(time.Minute)
+		}()
 		test(t, network, instances, sinceBoot)
-		for _, i := range instances {
-			i.stop()
-			<-i.gossiper.Done()
-			<-i.dispatcher.Done()
-		}
-		network.Close()
-		time.Sleep(time.Minute)
 	})
 }
 
@@ -237,6 +255,27 @@
 	})
 }
 
+// Guards against suspects that are passed around for ever, because the time of their
+// completion becomes later with each message.
+func TestClearedSuspectsExpireInAFleet(t *testing.T) {
+	runFleetWithTransit(t, 4, 20*time.Millisecond, func(t *testing.T, _ *piper.Network, instances []testInstance, _ func() time.Duration) {
+		time.Sleep(time.Second)
+		placement := dispatcher.Placement{Choice: placer.Choice{EndpointID: "e1"}}
+		instances[1].dispatcher.RecordBrokenAnswer(placement, dispatcher.BrokenAnswer{Fingerprint: 1})
+		instances[1].dispatcher.RecordEndpointDown(placement)
+		time.Sleep(time.Second)
+		instances[2].dispatcher.RecordCompletion(1)
+		time.Sleep(time.Second)
+		for n, i := range instances {
+			assert.Assert(t, i.dispatcher.HasSuspects(), "instance %d", n)
+		}
+		time.Sleep(11 * time.Minute)
+		for n, i := range instances {
+			assert.Assert(t, !i.dispatcher.HasSuspects(), "instance %d", n)
+		}
+	})
+}
+
 // A broken answer counts as a crash only if the endpoint refuses a connection soon
 // afterwards; here it does so only three seconds later.
 func TestBrokenAnswersWithoutCrashQuarantineNothing(t *testing.T) {
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -118,12 +118,10 @@
 	return decoded
 }
 
-// encodeSuspect returns the wire form of a quarantine entry, with times as ages. The
-// age of the last completion is at least 1 ms, because 0 stands for none.
+// encodeSuspect returns the wire form of a quarantine entry, with times as ages.
 func encodeSuspect(now time.Time, entry quarantiner.Entry) *gossipwire.Suspect {
-	suspect := &gossipwire.Suspect{Fingerprint: entry.Fingerprint, Sure: entry.SoleCause}
-	if !entry.LastClearedAt.IsZero() {
-		suspect.ClearedAgeMs = max(1, toMilliseconds(now.Sub(entry.LastClearedAt)))
+	suspect := &gossipwire.Suspect{
+		Fingerprint: entry.Fingerprint, Sure: entry.SoleCause, ClearedAgeMs: blockencoder.EncodeAge(now, entry.LastClearedAt),
 	}
 	for _, crash := range entry.Crashes {
 		suspect.Crashes = append(suspect.Crashes, &gossipwire.Crash{Endpoint: crash.EndpointID, AgeMs: toMilliseconds(now.Sub(crash.At))})
@@ -135,9 +133,8 @@
 // decodeSuspect returns a quarantine entry from its wire form. Ages count back from
 // now, the time of receipt by this instance's clock.
 func decodeSuspect(now time.Time, suspect *gossipwire.Suspect) quarantiner.Entry {
-	entry := quarantiner.Entry{Fingerprint: suspect.GetFingerprint(), SoleCause: suspect.GetSure()}
-	if age := suspect.GetClearedAgeMs(); age > 0 {
-		entry.LastClearedAt = now.Add(-time.Duration(age) * time.Millisecond)
+	entry := quarantiner.Entry{
+		Fingerprint: suspect.GetFingerprint(), SoleCause: suspect.GetSure(), LastClearedAt: blockencoder.DecodeAge(now, suspect.GetClearedAgeMs()),
 	}
 	for _, crash := range suspect.GetCrashes() {
 		entry.Crashes = append(entry.Crashes, quarantiner.Crash{
