--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -276,9 +276,10 @@
 // getOrAddRecord returns the record of a block, and adds one if there is none. It evicts
 // another record if there are Settings.MaxRecords already.
 func (i *Isolator) getOrAddRecord(now time.Time, block uint64) *Record {
-	if r, ok := i.records[block]; ok {
+	if r, ok := i.records[block]; ok && !i.isExpired(now, r) {
 		return r
 	}
+	delete(i.records, block)
 	if len(i.records) >= i.settings.MaxRecords {
 		i.evictRecord(now)
 	}
--- a/pkg/isolator/record.go
+++ b/pkg/isolator/record.go
@@ -101,11 +101,7 @@
 		r.Companions, changed = common, true
 	}
 	if i := slices.IndexFunc(r.Crashes, crash.isSame); i >= 0 {
-		if r.Crashes[i].HasBegun && !crash.HasBegun {
-			r.Crashes[i].HasBegun, changed = false, true
-		}
-
-		return changed
+		return r.mergeCrash(i, crash) || changed
 	}
 	if !r.LastTrialAt.IsZero() && crash.At.After(r.LastTrialAt) && !r.latestCrashAt().After(r.LastTrialAt) {
 		r.FailedTrials++
@@ -119,6 +115,21 @@
 	return true
 }
 
+// mergeCrash merges a second report of the crash at an index, and reports whether that
+// changed the record. The earlier time is closer to the crash.
+func (r *Record) mergeCrash(index int, crash Crash) (changed bool) {
+	known := &r.Crashes[index]
+	if known.HasBegun && !crash.HasBegun {
+		known.HasBegun, changed = false, true
+	}
+	if crash.At.Before(known.At) {
+		known.At, changed = crash.At, true
+		slices.SortFunc(r.Crashes, Crash.compare)
+	}
+
+	return changed
+}
+
 // clearUpTo removes the crashes up to and including a time, when a request with the block
 // ran to completion.
 func (r *Record) clearUpTo(at time.Time) {
