isolator, docs: Leave out companions that completed before a restart, describe the choice

A companion without a record is now looked up among the completed blocks, too: after a restart of all instances it would have counted as a cause in the block's place, so that requests with the block but without the companion would have run.

--- a/pkg/isolator/cause.go
+++ b/pkg/isolator/cause.go
@@ -39,8 +39,9 @@
 
 // findCauses returns the causes that explain the crashes in the records, the best
 // supported first. Each explains all crashes that it was in, so that blocks which were
-// there too are causes only if enough other crashes remain.
-func findCauses(records map[uint64]*Record) []cause {
+// there too are causes only if enough other crashes remain. hasCompleted reports whether a
+// block without a record has completed.
+func findCauses(records map[uint64]*Record, hasCompleted func(block uint64) bool) []cause {
 	candidates := make([]*Record, 0, len(records))
 	for _, r := range records {
 		if weigh(r.Crashes, nil) >= minWeight(r) {
@@ -54,7 +55,7 @@
 		if weigh(best.Crashes, explained) < minWeight(best) {
 			break
 		}
-		causes = append(causes, cause{record: best, blocks: alternatives(records, best)})
+		causes = append(causes, cause{record: best, blocks: alternatives(records, hasCompleted, best)})
 		explained = append(explained, best.Crashes...)
 		candidates = slices.DeleteFunc(candidates, func(r *Record) bool { return r == best })
 	}
@@ -107,11 +108,13 @@
 
 // alternatives returns the cause's own block and those of its companions that may be the
 // cause in its place. It removes the companions that are known to have completed.
-func alternatives(records map[uint64]*Record, best *Record) []uint64 {
+func alternatives(records map[uint64]*Record, hasCompleted func(block uint64) bool, best *Record) []uint64 {
 	best.Companions = slices.DeleteFunc(best.Companions, func(companion uint64) bool {
-		r, ok := records[companion]
+		if r, ok := records[companion]; ok {
+			return !r.LastCompletedAt.IsZero()
+		}
 
-		return ok && !r.LastCompletedAt.IsZero()
+		return hasCompleted(companion)
 	})
 	blocks := []uint64{best.Block}
 	for _, companion := range best.Companions {
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -176,7 +176,8 @@
 		i.removeExpired(now)
 	}
 	if !i.hasCauses {
-		i.causes, i.hasCauses = findCauses(i.records), true
+		hasCompleted := func(block uint64) bool { return !i.completed.latest(now, block).IsZero() }
+		i.causes, i.hasCauses = findCauses(i.records, hasCompleted), true
 	}
 
 	return i.causes
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -196,8 +196,9 @@
 
 // sortedCauses returns the blocks that are causes in ascending order.
 func sortedCauses(i *isolator.Isolator, now time.Time) []uint64 {
-	var causes []uint64
-	for _, record := range i.CauseRecords(now) {
+	records := i.CauseRecords(now)
+	causes := make([]uint64, 0, len(records))
+	for _, record := range records {
 		causes = append(causes, record.Block)
 	}
 
