relayer: Notice the crash of an endpoint that falls silent while callers wait

Cause: a stream that may not be repeated was not watched, so that its endpoint's crash by silence was noticed only when the caller gave up, after two seconds or more. The answer is not given up. Crashes count from the endpoint's last sign for whole requests, too.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -81,7 +81,7 @@
 		fingerprints = append(fingerprints, answer.Fingerprint)
 		prompts = append(prompts, isolator.Prompt{Blocks: answer.Blocks, HasBegun: answer.HasBegun})
 	}
-	d.quarantine.RecordCrash(now, endpoint, fingerprints)
+	d.quarantine.RecordCrash(crashedAt, endpoint, fingerprints)
 	d.hasSuspects.Store(true)
 	d.isolator.RecordCrash(now, crashedAt, endpoint, prompts)
 	d.logger.Warn("Endpoint crashed.", "endpoint", endpoint, "requests there", len(fingerprints), "age ms", now.Sub(crashedAt).Milliseconds(),
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -68,17 +68,29 @@
 // reportBrokenAnswer records that an attempt's answer broke off, and starts to find out
 // whether its endpoint crashed.
 func (r *relayedRequest) reportBrokenAnswer(a *attempt, wasSilent bool) {
-	brokenAt := time.Now()
 	if wasSilent {
-		brokenAt = brokenAt.Add(-r.relayer.dispatcher.SinceLastActivity(a.placement))
-		if brokenAt.Before(a.sentAt) {
-			brokenAt = a.sentAt
-		}
+		a.crashCheck = r.reportSilence(a.placement, a.sentAt, a.hasBegun)
+
+		return
 	}
 	r.relayer.dispatcher.RecordBrokenAnswer(a.placement, dispatcher.BrokenAnswer{
-		Fingerprint: r.fingerprint(), Blocks: r.metadata.SharedBlocks(), HasBegun: a.hasBegun, BrokenAt: brokenAt,
+		Fingerprint: r.fingerprint(), Blocks: r.metadata.SharedBlocks(), HasBegun: a.hasBegun, BrokenAt: time.Now(),
+	})
+	a.crashCheck = r.relayer.crashes.check(a.placement, r.maxIdleConnections(), false)
+}
+
+// reportSilence is reportBrokenAnswer for an attempt whose endpoint sends nothing on any
+// request. If the endpoint crashed, it did so after it last sent something.
+func (r *relayedRequest) reportSilence(placement dispatcher.Placement, sentAt time.Time, hasBegun bool) *crashCheck {
+	brokenAt := time.Now().Add(-r.relayer.dispatcher.SinceLastActivity(placement))
+	if brokenAt.Before(sentAt) {
+		brokenAt = sentAt
+	}
+	r.relayer.dispatcher.RecordBrokenAnswer(placement, dispatcher.BrokenAnswer{
+		Fingerprint: r.fingerprint(), Blocks: r.metadata.SharedBlocks(), HasBegun: hasBegun, BrokenAt: brokenAt,
 	})
-	a.crashCheck = r.relayer.crashes.check(a.placement, r.maxIdleConnections(), wasSilent)
+
+	return r.relayer.crashes.check(placement, r.maxIdleConnections(), true)
 }
 
 // isBlockedRepeat reports whether the request may not be sent to another endpoint after an
--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -232,3 +232,15 @@
 		assert.Assert(t, len(c.crashes) <= 3+3, "%d crashes", len(c.crashes))
 	})
 }
+
+// Guards against the crash of an endpoint that falls silent being noticed only when the
+// caller of a stream that may not be repeated gives up.
+func TestSilentCrashIsNoticedWhileTheCallerWaits(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		h.serveCrashingEndpoints(2, crashWay{beginAnswer: writeHalfEvent, isSilent: true})
+		go h.sendPrompt("/stream/", "1", "1", poisonBlock)
+		time.Sleep(1800 * time.Millisecond)
+		assert.Assert(t, h.relayer.InFlight() > 0)
+		assert.Assert(t, h.dispatcher.HasBlockRecords())
+	})
+}
--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -29,10 +30,13 @@
 
 // stallDetector cancels a repeatable attempt whose endpoint sends nothing. It first
 // takes a repeat from the repeat limiter and checks that the endpoints' limits leave room,
-// so that an attempt is only canceled if another one may follow. A nil stallDetector does
-// nothing.
+// so that an attempt is only canceled if another one may follow. If the request must not be
+// repeated, it only finds out whether the endpoint crashed. A nil stallDetector does nothing.
 type stallDetector struct {
 	request   *relayedRequest
+	canRepeat bool
+	hasBegun  atomic.Bool // whether an event came in this attempt
+	sentAt    time.Time
 	ctx       context.Context // of the attempt
 	placement dispatcher.Placement
 	repeat    placer.Request         // the placement of another attempt
@@ -42,14 +46,16 @@
 	timeout   time.Duration
 }
 
-// startStallDetector starts to watch an attempt. It returns nil if the request must not
-// be repeated, or if it is idempotent and its route has no target latency.
+// startStallDetector starts to watch an attempt. It returns nil if the request is no stream
+// and must not be repeated, or if it is idempotent and its route has no target latency.
 func (r *relayedRequest) startStallDetector(ctx context.Context, placement dispatcher.Placement, cancel context.CancelCauseFunc) *stallDetector {
-	if !r.route.CanRepeat() || r.possibleRuns+1 >= r.route.MaxRuns {
+	canRepeat := r.route.CanRepeat() && r.possibleRuns+1 < r.route.MaxRuns
+	if !canRepeat && r.route.Kind != matcher.Streaming {
 		return nil
 	}
 	d := &stallDetector{
-		request: r, ctx: ctx, placement: placement, repeat: r.placementRequest, cancel: cancel, timeout: maxStreamSilence + placement.ExpectedTimeToFirstToken,
+		request: r, canRepeat: canRepeat, sentAt: time.Now(), ctx: ctx, placement: placement, repeat: r.placementRequest, cancel: cancel,
+		timeout: maxStreamSilence + placement.ExpectedTimeToFirstToken,
 		history: retrier.AttemptHistory{MayHaveRun: true, Repeatable: true, PossibleRuns: r.possibleRuns + 1, MaxRuns: r.route.MaxRuns, Refusals: r.refusals},
 	}
 	if r.route.Kind == matcher.Idempotent {
@@ -67,6 +73,7 @@
 // restart starts the timeout again, after data came from the endpoint.
 func (d *stallDetector) restart() {
 	if d != nil {
+		d.hasBegun.Store(true)
 		d.timer.Reset(d.timeout)
 	}
 }
@@ -93,6 +100,14 @@
 			return
 		}
 	}
+	if !d.canRepeat {
+		crash := r.reportSilence(d.placement, d.sentAt, d.hasBegun.Load())
+		if <-crash.done; !crash.isDown {
+			d.timer.Reset(d.timeout)
+		}
+
+		return
+	}
 	if r.relayer.dispatcher.HasLimits() && !r.relayer.dispatcher.CanPlace(d.repeat) {
 		d.timer.Reset(d.timeout)
 
