--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 	"github.com/oleanderpick/oleanderpick/pkg/freshener"
 	"github.com/oleanderpick/oleanderpick/pkg/isolator"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
+	"github.com/oleanderpick/oleanderpick/pkg/pauser"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
@@ -90,6 +91,7 @@
 	throttler           *throttler.Throttler
 	hasLimits           atomic.Bool // whether throttler has records
 	permitSource        PermitSource
+	pauser              *pauser.Pauser
 	brokenAnswers       map[string][]BrokenAnswer // by endpoint ID
 	hasSuspects         atomic.Bool               // whether quarantine has entries
 	lastAttemptID       uint64
@@ -121,6 +123,7 @@
 		quarantine:    quarantiner.New(quarantiner.DefaultSettings()),
 		isolator:      isolator.New(isolator.DefaultSettings(), settings.Name),
 		throttler:     throttler.New(clock.Now(), settings.Name),
+		pauser:        pauser.New(),
 		brokenAnswers: map[string][]BrokenAnswer{},
 		onLoadChange:  func(string, placer.Load) {},
 	}
--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -87,7 +87,7 @@
 func (d *Dispatcher) CanPlace(request placer.Request) (ok bool) {
 	d.runAndWait(func() {
 		now := d.clock.Now()
-		request.Blocked = d.throttler.Blocked(now, request.Tier, false)
+		request.Blocked = d.blockedEndpoints(now, request.Tier, false)
 		_, ok = d.placer.Pick(now, request)
 	})
 
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -126,6 +126,7 @@
 func (d *Dispatcher) updatePlacer() {
 	d.placer.Configure(d.registry.Endpoints())
 	d.throttler.Retain(d.placer.HasEndpoint)
+	d.pauser.Retain(d.placer.HasEndpoint)
 	d.hasLimits.Store(d.throttler.HasRecords())
 }
 
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -53,7 +53,7 @@
 func (d *Dispatcher) tryToPlace(request placer.Request, mayRequest bool) (placement Placement, need *permitNeed, ok bool) {
 	now := d.clock.Now()
 	for {
-		request.Blocked = d.throttler.Blocked(now, request.Tier, mayRequest)
+		request.Blocked = d.blockedEndpoints(now, request.Tier, mayRequest)
 		placement.Choice, ok = d.placer.Pick(now, request)
 		if !ok {
 			if until := d.placer.BlockedUntil(request); !until.IsZero() {
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -77,6 +77,12 @@
 	// it stated none. HasInvalidRateLimit is true if it stated one that cannot be read.
 	RateLimit           *RateLimit
 	HasInvalidRateLimit bool
+	// IsLeaving reports whether the endpoint says that it leaves.
+	IsLeaving bool
+	// Pause is how long the endpoint wants no requests from this instance; zero if not stated.
+	// HasInvalidPause is true if it stated one that cannot be read.
+	Pause           time.Duration
+	HasInvalidPause bool
 }
 
 // RateLimit is the number of requests a second that an endpoint takes from all instances
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -65,6 +65,8 @@
 	metadata := relayer.ResponseMetadata{
 		RequestID: header.Get("X-Id"), NotRun: header.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 	}
+	metadata.IsLeaving = header.Get("X-Leaving") != ""
+	metadata.Pause, _ = time.ParseDuration(header.Get("X-Pause"))
 	if text := header.Get("X-Limit"); text != "" {
 		rate, err := strconv.ParseFloat(text, 64)
 		limit := relayer.RateLimit(rate)
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/throttler"
 )
@@ -19,6 +20,7 @@
 	a.endpointLoad, a.rateLimit = metadata.Load, metadata.RateLimit
 	if !metadata.Misdirected && metadata.RequestID == r.metadata.ID {
 		r.recordLimit(a, metadata)
+		r.recordAvailability(a, metadata)
 	}
 	switch {
 	case metadata.Misdirected:
@@ -60,6 +62,21 @@
 	r.relayer.dispatcher.RecordLimit(a.placement, a.sentAt, limit)
 }
 
+// recordAvailability records what an answer says of its endpoint's taking further requests. A
+// pause counts only with a refusal.
+func (r *relayedRequest) recordAvailability(a *attempt, metadata ResponseMetadata) {
+	availability := dispatcher.Availability{IsLeaving: metadata.IsLeaving}
+	if a.response.StatusCode == http.StatusServiceUnavailable {
+		availability.Pause = metadata.Pause
+		if metadata.HasInvalidPause {
+			r.relayer.logger.Warn("Endpoint asks for a pause that cannot be read.", "request", r.metadata.ID, "endpoint", a.placement.EndpointID)
+		}
+	}
+	if availability != (dispatcher.Availability{}) {
+		r.relayer.dispatcher.RecordAvailability(a.placement, availability)
+	}
+}
+
 // defaultMaxConnections is the number of connections that an endpoint accepts if the
 // configuration does not state it.
 const defaultMaxConnections = 100
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -13,6 +13,9 @@
 // draining incarnation stays so, and one that had been removed or replaced is not added
 // again.
 //
+// An endpoint may also say itself that it leaves. That counts as draining for as long as
+// the incarnation exists, whatever its entry says.
+//
 // An endpoint that restarts keeps its ID; its incarnations differ in the
 // time at which they started. A Registrar is not safe for concurrent use.
 package registrar
@@ -59,6 +62,7 @@
 	isRestored       bool                // the window follows a return from an older copy
 	heldBack         map[string]Endpoint // entries of the copy that are not used in the window, by ID
 	removed          []removedEntry      // oldest first
+	leaving          map[string]int64    // start times of the incarnations that said that they leave, by ID
 	hasListing       bool
 	sortedEndpoints  []Endpoint // the entries by ID; replaced, never changed
 }
@@ -79,7 +83,7 @@
 
 // New returns a registrar without endpoints.
 func New(settings Settings) *Registrar {
-	return &Registrar{settings: settings, entries: map[string]Endpoint{}, missing: map[string]bool{}, heldBack: map[string]Endpoint{}}
+	return &Registrar{settings: settings, entries: map[string]Endpoint{}, missing: map[string]bool{}, heldBack: map[string]Endpoint{}, leaving: map[string]int64{}}
 }
 
 // Configure replaces the settings.
@@ -147,12 +151,35 @@
 	r.removed = append(r.removed, removedEntry{endpoint.ID, endpoint.StartedUnixMs, now})
 	expired := 0
 	for expired < len(r.removed) && (len(r.removed)-expired > maxRemovedEntries || now.Sub(r.removed[expired].removedAt) > removedEntryTTL) {
+		delete(r.leaving, r.removed[expired].id)
 		expired++
 	}
 	r.removed = r.removed[expired:]
 }
 
+// RecordLeaving records that a registered endpoint said itself that it leaves, and reports
+// whether that was not known.
+func (r *Registrar) RecordLeaving(id string) bool {
+	endpoint, ok := r.entries[id]
+	if !ok || endpoint.Draining {
+		return false
+	}
+	r.leaving[id] = endpoint.StartedUnixMs
+	r.setEntry(endpoint)
+	r.updateSortedEndpoints()
+
+	return true
+}
+
+// setEntry sets the entry of an endpoint, as draining if its incarnation said that it leaves.
 func (r *Registrar) setEntry(endpoint Endpoint) {
+	if startedUnixMs, ok := r.leaving[endpoint.ID]; ok {
+		if startedUnixMs == endpoint.StartedUnixMs {
+			endpoint.Draining = true
+		} else {
+			delete(r.leaving, endpoint.ID)
+		}
+	}
 	r.entries[endpoint.ID] = endpoint
 	delete(r.missing, endpoint.ID)
 }
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -85,3 +85,26 @@
 	assert.Equal(t, len(before), 2)
 	assert.Equal(t, endpointIDs(r), "b")
 }
+
+// What an endpoint says of itself lasts as long as its incarnation, whatever the registry
+// says.
+func TestEndpointThatSaysItLeavesDrains(t *testing.T) {
+	restarted := endpointA
+	restarted.StartedUnixMs = 7
+	r := registrar.New(settings)
+	assert.Assert(t, !r.RecordLeaving("a"), "it is not registered")
+	applyListing(r, 0, endpointA, endpointB)
+	assert.Assert(t, r.RecordLeaving("a"))
+	assert.Equal(t, endpointIDs(r), "a-b")
+	assert.Assert(t, !r.RecordLeaving("a"), "it is known")
+	applyListing(r, time.Second, endpointA, endpointB)
+	assert.Equal(t, endpointIDs(r), "a-b", "listed as ready")
+	applyListing(r, 2*time.Second, endpointB)
+	assert.Equal(t, endpointIDs(r), "b")
+	r.RecordRestored(start.Add(3 * time.Second))
+	applyListing(r, 4*time.Second, endpointA, endpointB)
+	r.RemoveExpired(start.Add(6 * time.Second))
+	assert.Equal(t, endpointIDs(r), "a-b", "in an older copy that lasts")
+	applyListing(r, 7*time.Second, restarted, endpointB)
+	assert.Equal(t, endpointIDs(r), "ab", "it has started again")
+}
