isolator: Find two blocks that crash the same endpoints, and try a weak cause after five seconds

Cause: a cause explained all crashes that it was in, so that a second block which was in the same ones had to crash endpoints again before it was found. Change: crashes that another cause explains weigh half for a block if no answer to any of its requests had begun at any crash. The first trial of a cause with few crashes, or of one whose requests had begun, comes after five seconds, not a minute.

--- a/pkg/isolator/cause.go
+++ b/pkg/isolator/cause.go
@@ -11,6 +11,10 @@
 	// begun to be answered, and begunWeight that of any other crash.
 	unbegunWeight = 2
 	begunWeight   = 1
+	// explainedWeight is the weight of a crash that a cause explains, for a block of other
+	// requests of which none had begun to be answered at any crash. Two blocks that both
+	// crash endpoints may be in the same crashes.
+	explainedWeight = 1
 	// minCauseWeight is the weight of crashes from which on a block is a cause, if no
 	// completed request with it is known.
 	minCauseWeight = 2 * unbegunWeight
@@ -44,19 +48,17 @@
 func findCauses(records map[uint64]*Record, hasCompleted func(block uint64) bool) []cause {
 	candidates := make([]*Record, 0, len(records))
 	for _, r := range records {
-		if weigh(r.Crashes, nil) >= minWeight(r) {
+		if weigh(r, nil) >= minWeight(r) {
 			candidates = append(candidates, r)
 		}
 	}
 	var causes []cause
-	var explained []Crash
 	for len(candidates) > 0 {
-		best := slices.MaxFunc(candidates, func(a, b *Record) int { return compareSupport(a, b, explained) })
-		if weigh(best.Crashes, explained) < minWeight(best) {
+		best := slices.MaxFunc(candidates, func(a, b *Record) int { return compareSupport(a, b, causes) })
+		if weigh(best, causes) < minWeight(best) {
 			break
 		}
 		causes = append(causes, cause{record: best, blocks: alternatives(records, hasCompleted, best)})
-		explained = append(explained, best.Crashes...)
 		candidates = slices.DeleteFunc(candidates, func(r *Record) bool { return r == best })
 	}
 
@@ -72,40 +74,56 @@
 	return minCompletedCauseWeight
 }
 
-// compareSupport orders blocks by how well they explain the crashes that are not explained
-// yet, in proportion to the weight that they need. Among equals, the one that was always
+// compareSupport orders blocks by how well they explain the crashes that the causes do not
+// explain, in proportion to the weight that they need. Among equals, the one that was always
 // accompanied by more blocks is in fewer requests.
-func compareSupport(a, b *Record, explained []Crash) int {
+func compareSupport(a, b *Record, causes []cause) int {
 	return cmp.Or(
-		cmp.Compare(weigh(a.Crashes, explained)*minWeight(b), weigh(b.Crashes, explained)*minWeight(a)),
+		cmp.Compare(weigh(a, causes)*minWeight(b), weigh(b, causes)*minWeight(a)),
 		cmp.Compare(len(a.Companions), len(b.Companions)),
 		cmp.Compare(b.Block, a.Block),
 	)
 }
 
-// weigh returns the weight of the crashes that are not explained. Crashes within
-// eventWindow weigh as much as the heaviest of them.
-func weigh(crashes, explained []Crash) int {
+// weigh returns the weight of a block's crashes beside the causes that are known. Crashes
+// within eventWindow weigh as much as the heaviest of them.
+func weigh(r *Record, causes []cause) int {
 	total, weight := 0, 0
 	var eventAt time.Time
-	for _, crash := range crashes {
-		if slices.ContainsFunc(explained, crash.isSame) {
+	for _, crash := range r.Crashes {
+		crashWeight := weighCrash(r, crash, causes)
+		if crashWeight == 0 {
 			continue
 		}
 		if weight == 0 || crash.At.Sub(eventAt) >= eventWindow {
 			total += weight
 			weight, eventAt = 0, crash.At
 		}
-		if crash.HasBegun {
-			weight = max(weight, begunWeight)
-		} else {
-			weight = unbegunWeight
-		}
+		weight = max(weight, crashWeight)
 	}
 
 	return total + weight
 }
 
+// weighCrash returns the weight of one of a block's crashes.
+func weighCrash(r *Record, crash Crash, causes []cause) int {
+	weight := unbegunWeight
+	if crash.HasBegun {
+		weight = begunWeight
+	}
+	for _, c := range causes {
+		if !slices.ContainsFunc(c.record.Crashes, crash.isSame) {
+			continue
+		}
+		if _, isCompanion := slices.BinarySearch(r.Companions, c.record.Block); isCompanion || r.hasBegun() {
+			return 0
+		}
+		weight = explainedWeight
+	}
+
+	return weight
+}
+
 // alternatives returns the cause's own block and those of its companions that may be the
 // cause in its place. It removes the companions that are known to have completed.
 func alternatives(records map[uint64]*Record, hasCompleted func(block uint64) bool, best *Record) []uint64 {
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -143,7 +143,7 @@
 	switch {
 	case r.FailedTrials >= i.settings.MaxFailedTrials:
 		delay = i.settings.LateTrialDelay
-	case r.Trials == 0 && len(r.Crashes) < i.settings.StrongCrashes:
+	case r.Trials == 0 && (len(r.Crashes) < i.settings.StrongCrashes || r.hasBegun()):
 		delay = i.settings.FirstTrialDelay
 	}
 
--- a/pkg/isolator/record.go
+++ b/pkg/isolator/record.go
@@ -78,6 +78,12 @@
 	return r.Crashes[len(r.Crashes)-1].At
 }
 
+// hasBegun reports whether an answer to a request with the block had begun at one of the
+// crashes, so that the block probably did not cause it.
+func (r *Record) hasBegun() bool {
+	return slices.ContainsFunc(r.Crashes, func(crash Crash) bool { return crash.HasBegun })
+}
+
 // latestEventAt returns the time of the latest crash, completion, refusal or trial.
 func (r *Record) latestEventAt() time.Time {
 	latest := r.latestCrashAt()
--- a/pkg/isolator/settings.go
+++ b/pkg/isolator/settings.go
@@ -9,8 +9,8 @@
 	// CauseTTL is how long the record of a cause is kept after its latest event, such as a
 	// refused request. It is longer than LateTrialDelay.
 	CauseTTL time.Duration
-	// FirstTrialDelay is the time from the latest crash to the first trial of a cause with
-	// fewer crashes than StrongCrashes.
+	// FirstTrialDelay is the time from the latest crash to the first trial of a cause that
+	// was in fewer crashes than StrongCrashes, or at one of them in an answer that had begun.
 	FirstTrialDelay time.Duration
 	// TrialDelay is the time to any other trial. Each trial doubles the delay of the next
 	// one.
@@ -37,7 +37,7 @@
 	return Settings{
 		RecordTTL:          10 * time.Minute,
 		CauseTTL:           48 * time.Hour,
-		FirstTrialDelay:    time.Minute,
+		FirstTrialDelay:    5 * time.Second,
 		TrialDelay:         10 * time.Minute,
 		StrongCrashes:      5,
 		MaxFailedTrials:    2,
