isolator: Try a certain cause once a day only

Cause: trials after ten and twenty minutes of a block that had crashed five endpoints and more added to the requests that were under way when it was found. Change: a cause with five crashes at none of which an answer had begun is tried once a day. One whose answers had begun is tried after five seconds, as it may be a bystander; any other after a minute and after twenty. Also: a slow answer is not given up for a repeat that no endpoint may get because of pauses.

--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -29,8 +29,8 @@
 var errStalled = errors.New("no data came from the endpoint in time")
 
 // stallDetector cancels a repeatable attempt whose endpoint sends nothing. It first
-// takes a repeat from the repeat limiter and checks that the endpoints' limits leave room,
-// so that an attempt is only canceled if another one may follow. If the request must not be
+// takes a repeat from the repeat limiter and checks that an endpoint may get the request, so
+// that an attempt is only canceled if another one may follow. If the request must not be
 // repeated, it only finds out whether the endpoint crashed. A nil stallDetector does nothing.
 type stallDetector struct {
 	request   *relayedRequest
@@ -108,7 +108,7 @@
 
 		return
 	}
-	if r.relayer.dispatcher.HasLimits() && !r.relayer.dispatcher.CanPlace(d.repeat) {
+	if !r.relayer.dispatcher.CanPlace(d.repeat) {
 		d.timer.Reset(d.timeout)
 
 		return
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -140,10 +140,13 @@
 // trialDueAt returns when this instance may next allow a request with a cause as a trial.
 func (i *Isolator) trialDueAt(r *Record) time.Time {
 	delay := i.settings.TrialDelay << min(r.Trials, maxDelayDoublings)
+	isCertain := len(r.Crashes) >= i.settings.CertainCrashes && !r.hasBegun()
 	switch {
-	case r.FailedTrials >= i.settings.MaxFailedTrials:
+	case isCertain || r.FailedTrials >= i.settings.MaxFailedTrials:
 		delay = i.settings.LateTrialDelay
-	case r.Trials == 0 && (len(r.Crashes) < i.settings.StrongCrashes || r.hasBegun()):
+	case r.Trials == 0 && r.hasBegun():
+		delay = i.settings.DoubtfulTrialDelay
+	case r.Trials == 0:
 		delay = i.settings.FirstTrialDelay
 	}
 
--- a/pkg/isolator/settings.go
+++ b/pkg/isolator/settings.go
@@ -9,18 +9,18 @@
 	// CauseTTL is how long the record of a cause is kept after its latest event, such as a
 	// refused request. It is longer than LateTrialDelay.
 	CauseTTL time.Duration
-	// FirstTrialDelay is the time from the latest crash to the first trial of a cause that
-	// was in fewer crashes than StrongCrashes, or at one of them in an answer that had begun.
-	FirstTrialDelay time.Duration
-	// TrialDelay is the time to any other trial. Each trial doubles the delay of the next
-	// one.
+	// CertainCrashes is the number of crashes from which on a cause counts as certain if no
+	// answer to a request with it had begun at any of them.
+	CertainCrashes int
+	// FirstTrialDelay is the time from the latest crash to the first trial of a cause that is
+	// not certain, DoubtfulTrialDelay the same if an answer to a request with it had begun.
+	FirstTrialDelay, DoubtfulTrialDelay time.Duration
+	// TrialDelay is the time to further trials. Each trial doubles it for the next one.
 	TrialDelay time.Duration
-	// StrongCrashes is the number of crashes from which on a cause counts as certain.
-	StrongCrashes int
-	// MaxFailedTrials is the number of trials that end in a crash after which trials are
-	// LateTrialDelay apart.
-	MaxFailedTrials int
+	// LateTrialDelay is the time between trials of a certain cause, and of one of which
+	// MaxFailedTrials trials have ended in a crash.
 	LateTrialDelay  time.Duration
+	MaxFailedTrials int
 	// TrialSpread is the range of a random delay, different on each instance, by which a
 	// trial is made later, so that other instances hear of it before theirs.
 	TrialSpread time.Duration
@@ -37,11 +37,12 @@
 	return Settings{
 		RecordTTL:          10 * time.Minute,
 		CauseTTL:           48 * time.Hour,
-		FirstTrialDelay:    5 * time.Second,
+		CertainCrashes:     5,
+		FirstTrialDelay:    time.Minute,
+		DoubtfulTrialDelay: 5 * time.Second,
 		TrialDelay:         10 * time.Minute,
-		StrongCrashes:      5,
-		MaxFailedTrials:    2,
 		LateTrialDelay:     24 * time.Hour,
+		MaxFailedTrials:    2,
 		TrialSpread:        30 * time.Second,
 		MaxRecords:         1024,
 		MaxCompletedBlocks: 4096,
