isolator: Tell an instance that was cut off of a completion that is old by then

What callers would see: an instance that was cut off keeps refusing sound requests with a block, and makes the others keep it in quarantine, although the block has completed at another instance meanwhile. Cause: that instance dropped the old crashes when it heard of them, and its record was then too old to be sent. Change: a record is sent for ten seconds from when it was added, too. Evidence: TestOldCompletionEndsTheQuarantineOfAnInstanceThatWasCutOff failed before and passes.

--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -205,7 +205,7 @@
 	return slices.ContainsFunc(i.causes, func(c cause) bool { return c.record.Block == r.Block })
 }
 
-// isExpired reports whether the latest event of a record is too old.
+// isExpired reports whether the latest news of a record is too old.
 func (i *Isolator) isExpired(now time.Time, r *Record) bool {
 	ttl := i.settings.RecordTTL
 	switch {
@@ -215,10 +215,10 @@
 		ttl = sharedAge
 	}
 
-	return !now.Before(r.latestEventAt().Add(ttl))
+	return !now.Before(r.latestNewsAt().Add(ttl))
 }
 
-// sharedAge is the age of a record's latest event up to which the record is sent to other
+// sharedAge is the age of a record's latest news up to which the record is sent to other
 // instances, unless it is a cause's.
 const sharedAge = 10 * time.Second
 
@@ -231,7 +231,7 @@
 	i.currentCauses(now)
 	shared := make([]*Record, 0, len(i.records))
 	for _, r := range i.records {
-		if i.isCause(r) || now.Sub(r.latestEventAt()) < sharedAge {
+		if i.isCause(r) || now.Sub(r.latestNewsAt()) < sharedAge {
 			shared = append(shared, r)
 		}
 	}
@@ -266,7 +266,7 @@
 		if other.latestEventAt().Sub(now) > maxClockError || !now.Before(other.latestEventAt().Add(i.settings.CauseTTL)) {
 			continue
 		}
-		if _, ok := i.records[other.Block]; !ok && len(other.Crashes) == 0 {
+		if known, ok := i.records[other.Block]; (!ok || i.isExpired(now, known)) && len(other.Crashes) == 0 {
 			continue
 		}
 		slices.SortFunc(other.Crashes, Crash.compare)
@@ -287,7 +287,7 @@
 	if len(i.records) >= i.settings.MaxRecords {
 		i.evictRecord(now)
 	}
-	r := &Record{Block: block, LastCompletedAt: i.completed.latest(now, block)}
+	r := &Record{Block: block, LastCompletedAt: i.completed.latest(now, block), addedAt: now}
 	i.records[block] = r
 
 	return r
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -210,3 +210,24 @@
 
 	return causes
 }
+
+// Guards against a quarantine that an instance keeps on, and tells the others of, because it was
+// cut off when a request with the block completed elsewhere.
+func TestOldCompletionEndsTheQuarantineOfAnInstanceThatWasCutOff(t *testing.T) {
+	cutOff, peer := isolator.New(isolator.DefaultSettings(), "a"), isolator.New(isolator.DefaultSettings(), "b")
+	for n := range 2 {
+		cutOff.RecordCrash(at(float64(n)), at(float64(n)), fmt.Sprint("e", n), []isolator.Prompt{unbegun(7)})
+	}
+	peer.RecordCompletion(at(5), []uint64{7})
+	now := at(40) // The peer's completion is old, but later than the crashes.
+	for range 2 {
+		peer.Merge(now, cutOff.RecordsToShare(now))
+		cutOff.Merge(now, peer.RecordsToShare(now))
+	}
+	assert.Equal(t, peer.Decide(now, []uint64{7}), isolator.Allowed)
+	assert.Equal(t, cutOff.Decide(now, []uint64{7}), isolator.Allowed)
+	assert.Assert(t, !peer.IsEmpty())
+	peer.RecordsToShare(now.Add(time.Minute))
+	cutOff.RecordsToShare(now.Add(time.Minute))
+	assert.Assert(t, peer.IsEmpty() && cutOff.IsEmpty(), "the records are not passed around for ever")
+}
--- a/pkg/isolator/record.go
+++ b/pkg/isolator/record.go
@@ -58,6 +58,9 @@
 	// Trials is the number of trials, FailedTrials that of those after which an endpoint
 	// crashed.
 	Trials, FailedTrials int
+
+	// addedAt is when this instance added the record.
+	addedAt time.Time
 }
 
 // clone returns a copy that shares no memory with r.
@@ -84,6 +87,12 @@
 	return slices.ContainsFunc(r.Crashes, func(crash Crash) bool { return crash.HasBegun })
 }
 
+// latestNewsAt returns the time of the latest event, or that at which the record was added. A
+// record that was added for news of old crashes may hold a completion that is news to others.
+func (r *Record) latestNewsAt() time.Time {
+	return laterOf(r.latestEventAt(), r.addedAt)
+}
+
 // latestEventAt returns the time of the latest crash, completion, refusal or trial.
 func (r *Record) latestEventAt() time.Time {
 	latest := r.latestCrashAt()
