controller, isolator: Log and tell which part of a request is in quarantine

Cause: 'serve' refused a request in the same words, and without a log line, whether the whole request or one of its messages was in quarantine, so that an engineer on call could not tell the two apart. Change: 'Endpoint crashed.' has the blocks that were there and those in quarantine, 'Refused by the quarantine.' which of the two it was; the caller's message says so, too. The text of blocks for logs moves to pkg/isolator, for both ways in. Evidence: TestMessageThatCrashesEnginesIsQuarantined checks the message.

--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
@@ -168,7 +170,14 @@
 	if state.attempts > 0 {
 		kind = answerer.KindEndpointLost
 	}
-	state.results <- placementResult{err: answerer.New(kind, "This request crashed endpoints and is quarantined.")}
+	isBlock := state.blockVerdict == isolator.Quarantined
+	c.logger.Info("Refused by the quarantine.", "request", state.id, "workspace", state.request.Workspace, "because of a block", isBlock,
+		"blocks", isolator.FormatBlocks(state.request.Blocks), "fingerprint", strconv.FormatUint(state.request.Fingerprint, 16), "attempts", state.attempts)
+	message := "This request crashed endpoints and is quarantined."
+	if isBlock {
+		message = "Requests with one of these messages crashed endpoints and are quarantined."
+	}
+	state.results <- placementResult{err: answerer.New(kind, message)}
 }
 
 // requeueHeldRequests puts held requests back into the queue when the trial of their
@@ -338,6 +347,7 @@
 	}
 	c.quarantiner.RecordCrash(now, endpoint, fingerprints)
 	c.isolator.RecordCrash(now, now, endpoint, prompts)
+	c.logCrash(now, endpoint, prompts)
 	select {
 	case c.crashAlerts <- struct{}{}:
 	default:
@@ -346,6 +356,15 @@
 	return true
 }
 
+// logCrash logs a crash with the blocks of the requests that were running there, and the
+// blocks that are in quarantine now.
+func (c *Controller) logCrash(now time.Time, endpoint string, prompts []isolator.Prompt) {
+	unbegunBlocks, begunBlocks := isolator.BlocksByProgress(prompts)
+	causes := slices.Concat(c.isolator.Causes(now)...)
+	c.logger.Warn("Endpoint crashed.", "endpoint", endpoint, "requests there", len(prompts), "blocks of unbegun answers", isolator.FormatBlocks(unbegunBlocks),
+		"blocks of begun answers", isolator.FormatBlocks(begunBlocks), "blocks in quarantine", isolator.FormatBlocks(causes))
+}
+
 // requeue puts a request whose attempt failed back into the queue.
 func (c *Controller) requeue(now time.Time, state *requestState) {
 	if _, ok := c.requests[state.id]; !ok {
--- a/internal/dispatcher/block.go
+++ b/internal/dispatcher/block.go
@@ -1,27 +1,12 @@
 package dispatcher
 
 import (
-	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/pkg/isolator"
 )
 
-// FormatBlocks returns the sorted IDs of prompt blocks, without repetition, for logs.
-func FormatBlocks(ids []uint64) string {
-	var text []byte
-	for i, id := range slices.Compact(slices.Sorted(slices.Values(ids))) {
-		if i > 0 {
-			text = append(text, ' ')
-		}
-		text = strconv.AppendUint(text, id, 16)
-	}
-
-	return string(text)
-}
-
 // HasBlockRecords reports whether prompt blocks are known that were present when endpoints
 // crashed. It does not wait for the control goroutine.
 func (d *Dispatcher) HasBlockRecords() bool {
@@ -114,7 +99,7 @@
 	d.hasBlockRecords.Store(!d.isolator.IsEmpty())
 	texts := make([]string, 0, len(causes))
 	for _, blocks := range causes {
-		texts = append(texts, FormatBlocks(blocks))
+		texts = append(texts, isolator.FormatBlocks(blocks))
 	}
 	text := strings.Join(texts, ", ")
 	if text != d.quarantinedBlocks {
--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -68,23 +68,18 @@
 	crashedAt := now
 	fingerprints := make([]uint64, 0, len(answers))
 	prompts := make([]isolator.Prompt, 0, len(answers))
-	var unbegunBlocks, begunBlocks []uint64
 	for _, answer := range answers {
 		if !answer.BrokenAt.IsZero() && answer.BrokenAt.Before(crashedAt) {
 			crashedAt = answer.BrokenAt
 		}
-		if answer.HasBegun {
-			begunBlocks = append(begunBlocks, answer.Blocks...)
-		} else {
-			unbegunBlocks = append(unbegunBlocks, answer.Blocks...)
-		}
 		fingerprints = append(fingerprints, answer.Fingerprint)
 		prompts = append(prompts, isolator.Prompt{Blocks: answer.Blocks, HasBegun: answer.HasBegun})
 	}
 	d.quarantine.RecordCrash(crashedAt, endpoint, fingerprints)
 	d.hasSuspects.Store(true)
 	d.isolator.RecordCrash(now, crashedAt, endpoint, prompts)
+	unbegunBlocks, begunBlocks := isolator.BlocksByProgress(prompts)
 	d.logger.Warn("Endpoint crashed.", "endpoint", endpoint, "requests there", len(fingerprints), "age ms", now.Sub(crashedAt).Milliseconds(),
-		"blocks of unbegun answers", FormatBlocks(unbegunBlocks), "blocks of begun answers", FormatBlocks(begunBlocks))
+		"blocks of unbegun answers", isolator.FormatBlocks(unbegunBlocks), "blocks of begun answers", isolator.FormatBlocks(begunBlocks))
 	d.reportCauses(now, "crash")
 }
--- a/internal/lab/deployer/engine_faults_test.go
+++ b/internal/lab/deployer/engine_faults_test.go
@@ -145,6 +145,7 @@
 	waitFor(t, func() bool { return send(0, "Be kind.", "back?").status == http.StatusOK })
 	for i := range 10 {
 		got := send(i%2, poisonText, fmt.Sprint("later question ", i))
+		assert.Assert(t, strings.Contains(got.body, "one of these messages"), got.body)
 		assert.Assert(t, strings.Contains(got.body, "quarantined"), got.body)
 		assert.Assert(t, strings.Contains(got.body, "not-run"), got.body)
 		sound := send(i%2, "Be kind.", fmt.Sprint("later question ", i))
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/connector"
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
+	"github.com/oleanderpick/oleanderpick/pkg/isolator"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
@@ -177,7 +178,7 @@
 		reason = r.relayer.dispatcher.TakeRepeat(r.placementRequest.Service, history, wasSent)
 	}
 	r.relayer.logger.Info("Attempt failed.", "request", r.metadata.ID, "route", r.route.Name, "endpoint", a.placement.EndpointID,
-		"result", a.result.String(), "endpoint load", a.endpointLoad.String(), "endpoint limit", a.rateLimit.String(), "known running", a.placement.KnownLoad.RunningRequests, "may have run", a.mayHaveRun, "begun", r.answerStarted, "begun there", a.hasBegun, "blocks", dispatcher.FormatBlocks(r.metadata.SharedBlocks()), "runs", r.possibleRuns, "refusals", r.refusals, "unsent", r.unsentAttempts,
+		"result", a.result.String(), "endpoint load", a.endpointLoad.String(), "endpoint limit", a.rateLimit.String(), "known running", a.placement.KnownLoad.RunningRequests, "may have run", a.mayHaveRun, "begun", r.answerStarted, "begun there", a.hasBegun, "blocks", isolator.FormatBlocks(r.metadata.SharedBlocks()), "runs", r.possibleRuns, "refusals", r.refusals, "unsent", r.unsentAttempts,
 		"cause", causeText(a.failureCause), "decision", decisionName(reason))
 	r.relayer.meter.CountRetryDecision(decisionName(reason))
 	if reason == retrier.ReasonNone {
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -122,7 +122,7 @@
 	verdict := r.relayer.dispatcher.DecideBlocks(r.metadata.SharedBlocks())
 	r.isOnTrial = verdict == isolator.Trial
 	if verdict != isolator.Allowed {
-		r.relayer.logger.Info("Prompt has a block that crashes endpoints.", "request", r.metadata.ID, "blocks", dispatcher.FormatBlocks(r.metadata.SharedBlocks()),
+		r.relayer.logger.Info("Prompt has a block that crashes endpoints.", "request", r.metadata.ID, "blocks", isolator.FormatBlocks(r.metadata.SharedBlocks()),
 			"trial", r.isOnTrial, "may have run", r.mayHaveRun)
 	}
 
