--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -10,6 +10,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/pkg/isolator"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 )
 
@@ -244,3 +247,26 @@
 		assert.Assert(t, h.dispatcher.HasBlockRecords())
 	})
 }
+
+// Guards against a block that crashes endpoints being taken for sound because an endpoint
+// answered a request with it with a failure of its own.
+func TestFailureOfAnEndpointDoesNotClearABlock(t *testing.T) {
+	const block = 0xbad
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		h.serveEndpoints(respondWithStatus(http.StatusInternalServerError, false))
+		for _, crashed := range []string{"e8", "e9"} {
+			placement := dispatcher.Placement{Choice: placer.Choice{EndpointID: crashed}}
+			h.dispatcher.RecordBrokenAnswer(placement, dispatcher.BrokenAnswer{Blocks: []uint64{block}, BrokenAt: time.Now()})
+			h.dispatcher.RecordEndpointDown(placement)
+			assert.Equal(t, h.dispatcher.DecideBlocks([]uint64{block}) == isolator.Quarantined, crashed == "e9")
+			if crashed == "e8" {
+				request := h.newRequest(http.MethodPost, "/once/x", "")
+				request.Header.Set("X-Blocks", "bad f00d")
+				response, _, err := h.send(request)
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusInternalServerError)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
