--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -123,19 +123,14 @@
 	}
 }
 
-// minCrashesToStopRepeats is the number of crashes of a block that is not known to have
-// completed from which on requests with it are not repeated. After the first crash of a block,
-// another request was most likely the cause.
-const minCrashesToStopRepeats = 2
-
 // MayRepeat reports whether a request may be sent to another endpoint after the one that
-// had not begun to answer it crashed. It may not if one of its blocks was at
-// minCrashesToStopRepeats crashes or more and is not known to have completed.
+// had not begun to answer it crashed. It may not if one of its blocks was at a crash and is
+// not known to have completed.
 func (i *Isolator) MayRepeat(blocks []uint64) bool {
 	return !slices.ContainsFunc(blocks, func(block uint64) bool {
 		r, ok := i.records[block]
 
-		return ok && len(r.Crashes) >= minCrashesToStopRepeats && r.LastCompletedAt.IsZero()
+		return ok && len(r.Crashes) > 0 && r.LastCompletedAt.IsZero()
 	})
 }
 
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -133,14 +133,11 @@
 	assert.Assert(t, len(i.CauseRecords(at(104))) == 0 && len(peer.Causes(at(104))) == 0)
 }
 
-// A request whose endpoint crashed is not repeated if one of its blocks was at several crashes
-// and has not completed.
+// A request whose endpoint crashed is repeated only if all of its blocks have completed.
 func TestRepeatOfASuspectIsNotAllowed(t *testing.T) {
 	i := isolator.New(isolator.DefaultSettings(), "instance")
 	i.RecordCompletion(at(0), []uint64{1})
-	for n := range 2 {
-		i.RecordCrash(at(1), at(1), fmt.Sprint("e", n), []isolator.Prompt{unbegun(1, 7)})
-	}
+	i.RecordCrash(at(1), at(1), "e", []isolator.Prompt{unbegun(1, 7)})
 	assert.Assert(t, !i.MayRepeat([]uint64{1, 7}))
 	assert.Assert(t, i.MayRepeat([]uint64{1}))
 	assert.Assert(t, i.MayRepeat([]uint64{2}))
@@ -234,14 +231,3 @@
 	cutOff.RecordsToShare(now.Add(time.Minute))
 	assert.Assert(t, peer.IsEmpty() && cutOff.IsEmpty(), "the records are not passed around for ever")
 }
-
-// Guards against giving up a sound request at the first crash of its endpoint, because one of
-// its blocks has not been seen to complete yet.
-func TestRequestIsRepeatedAfterTheFirstCrashOfItsBlocks(t *testing.T) {
-	i := isolator.New(isolator.DefaultSettings(), "instance")
-	i.RecordCrash(at(1), at(1), "e1", []isolator.Prompt{unbegun(1, 7)})
-	assert.Assert(t, i.MayRepeat([]uint64{1, 7}))
-	i.RecordCrash(at(1.1), at(1.1), "e2", []isolator.Prompt{unbegun(2, 7)})
-	assert.Assert(t, !i.MayRepeat([]uint64{1, 7}))
-	assert.Assert(t, i.MayRepeat([]uint64{1, 2}))
-}
