isolator: Take blocks whose answers had begun for causes last

What callers would see: a sound block is refused and the one that crashes endpoints runs on, because the sound one was in more crashes, as a bystander, and explained them all. Cause: of the blocks with enough weight the heaviest came first, also if answers to requests with it had begun, so that it probably was not the cause. Change: blocks of which no answer had begun come first.

--- a/pkg/isolator/cause.go
+++ b/pkg/isolator/cause.go
@@ -75,11 +75,22 @@
 }
 
 // compareSupport orders blocks by how well they explain the crashes that the causes do not
-// explain, in proportion to the weight that they need. Among equals, the one that was always
-// accompanied by more blocks is in fewer requests.
+// explain. Blocks with enough weight come before others, and among these the ones of which no
+// answer had begun. Then the weight counts in proportion to the one needed. Among equals, the
+// one that was always accompanied by more blocks is in fewer requests.
 func compareSupport(a, b *Record, causes []cause) int {
+	weightOfA, weightOfB := weigh(a, causes), weigh(b, causes)
+	isUnbegunCause := func(r *Record, weight int) int {
+		if weight >= minWeight(r) && !r.hasBegun() {
+			return 1
+		}
+
+		return 0
+	}
+
 	return cmp.Or(
-		cmp.Compare(weigh(a, causes)*minWeight(b), weigh(b, causes)*minWeight(a)),
+		cmp.Compare(isUnbegunCause(a, weightOfA), isUnbegunCause(b, weightOfB)),
+		cmp.Compare(weightOfA*minWeight(b), weightOfB*minWeight(a)),
 		cmp.Compare(len(a.Companions), len(b.Companions)),
 		cmp.Compare(b.Block, a.Block),
 	)
--- a/pkg/isolator/isolator_test.go
+++ b/pkg/isolator/isolator_test.go
@@ -55,6 +55,9 @@
 		"two causes in the same crashes": {[]step{
 			crash(1, unbegun(7), unbegun(8)), crash(2, unbegun(7), unbegun(8)), crash(3, unbegun(7), unbegun(8)), crash(4, unbegun(7), unbegun(8)),
 		}, []uint64{8}, quarantined},
+		"a bystander that had begun, with more crashes": {[]step{
+			crash(1, unbegun(7), unbegun(5)), crash(2, unbegun(7), unbegun(5)), crash(3, unbegun(5), begun(5)), crash(4, begun(5)), crash(5, unbegun(5)),
+		}, []uint64{7}, quarantined},
 		"one of them had begun once": {[]step{
 			crash(1, unbegun(7), unbegun(8)), crash(2, unbegun(7), unbegun(8)), crash(3, unbegun(7), begun(8)), crash(4, unbegun(7), unbegun(8)),
 		}, []uint64{8}, allowed},
