relayer: Log the version of the endpoint's software and what a request resumes

'Placed.' now has the registered version of the endpoint, the event after which the request goes on, and the request that it resumes. Registrations pass the version on between instances. No decision changes.

--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -111,7 +111,7 @@
 	hash := fnv.New64a()
 	for _, e := range endpoints {
 		for _, field := range []string{
-			e.ID, e.Service, e.Address, e.DataCentre,
+			e.ID, e.Service, e.Address, e.DataCentre, e.Version,
 			strconv.Itoa(e.Slots), strconv.FormatBool(e.Draining), strconv.FormatInt(e.StartedUnixMs, 10),
 		} {
 			_, _ = hash.Write([]byte(field))
--- a/internal/gossiper/fetch.go
+++ b/internal/gossiper/fetch.go
@@ -33,7 +33,7 @@
 		for _, e := range registry.Endpoints {
 			reply.Endpoints = append(reply.Endpoints, &gossipwire.Endpoint{
 				Id: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
-				Slots: uint32(max(0, e.Slots)), Draining: e.Draining, Born: e.StartedUnixMs,
+				Slots: uint32(max(0, e.Slots)), Draining: e.Draining, Born: e.StartedUnixMs, Software: e.Version,
 			})
 		}
 	}
@@ -84,7 +84,7 @@
 	for _, e := range encoded {
 		endpoints = append(endpoints, registrar.Endpoint{
 			ID: e.GetId(), Service: e.GetService(), Address: e.GetAddress(), DataCentre: e.GetDataCentre(),
-			Slots: int(e.GetSlots()), Draining: e.GetDraining(), StartedUnixMs: e.GetBorn(),
+			Slots: int(e.GetSlots()), Draining: e.GetDraining(), StartedUnixMs: e.GetBorn(), Version: e.GetSoftware(),
 		})
 	}
 
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -19,6 +19,9 @@
 	APIKey string
 	// LastEventID is the ID of the last event that the caller received; empty if none.
 	LastEventID string
+	// ResumedRequestID is the ID of the caller's request that brought the first event of the
+	// stream, if the caller takes up a stream; empty if it does not say so.
+	ResumedRequestID string
 	// PromptTokens and OutputTokens are the lengths of the prompt and of the expected
 	// answer in tokens, and PromptBlocks the hashed blocks of the prompt. All are zero for
 	// requests to plain services.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -28,6 +28,16 @@
 	return strconv.FormatInt(id, 10)
 }
 
+// continuedAfter returns the ID of the event after which the next attempt goes on, for logs;
+// empty if the stream has not begun.
+func (r *relayedRequest) continuedAfter() string {
+	if r.lastEventID > 0 {
+		return formatEventID(r.lastEventID)
+	}
+
+	return r.metadata.LastEventID
+}
+
 // forwardStream forwards each event of the answer as soon as it has arrived whole.
 func (r *relayedRequest) forwardStream(ctx context.Context, a *attempt) {
 	events := sse.NewRawReader(a.response.Body)
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -111,7 +111,10 @@
 	if request.PromptTokens == 0 {
 		e := s.pickPlain()
 
-		return Choice{EndpointID: e.ID, Address: e.Address, KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre}, true
+		return Choice{
+			EndpointID: e.ID, Address: e.Address, Version: e.Version, StartedUnixMs: e.StartedUnixMs,
+			KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre,
+		}, true
 	}
 
 	if p.isFleetDivided {
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -67,6 +67,9 @@
 	// EndpointID and Address identify the chosen endpoint.
 	EndpointID string
 	Address    string
+	// Version and StartedUnixMs are those of the chosen incarnation, as it is registered.
+	Version       string
+	StartedUnixMs int64
 	// ExpectedTimeToFirstToken is the predicted time to the first token; zero for
 	// plain services.
 	ExpectedTimeToFirstToken time.Duration
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -174,8 +174,9 @@
 
 	return Choice{
 		CacheSourceAddress: addressOf(source),
-		EndpointID:         e.ID, Address: e.Address, ExpectedTimeToFirstToken: s.timeToFirstToken(e, uncachedTokens),
-		UncachedTokens: uncachedTokens, PrefillTime: s.service.prefillTime(uncachedTokens), IsLongPrompt: s.isLongPrompt(),
+		EndpointID:         e.ID, Address: e.Address, Version: e.Version, StartedUnixMs: e.StartedUnixMs,
+		ExpectedTimeToFirstToken: s.timeToFirstToken(e, uncachedTokens),
+		UncachedTokens:           uncachedTokens, PrefillTime: s.service.prefillTime(uncachedTokens), IsLongPrompt: s.isLongPrompt(),
 		HasPrompt: true,
 		KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre, Split: split, EngineCount: len(s.eligible),
 	}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -37,6 +37,9 @@
 	// Slots is the number of requests that the endpoint runs at once.
 	Slots    int
 	Draining bool
+	// Version is the version of the software that this incarnation runs; empty if its entry
+	// does not state it.
+	Version string
 	// StartedUnixMs is the time at which this incarnation started, in milliseconds
 	// since the Unix epoch.
 	StartedUnixMs int64
