--- a/internal/relayer/crash_test.go
+++ b/internal/relayer/crash_test.go
@@ -25,7 +25,6 @@
 	poisonArrivals []time.Time // when requests with poisonBlock reached an endpoint
 	crashes        []time.Time
 	isDown         map[string]bool // by endpoint ID
-	registered     []registrar.Endpoint
 }
 
 const (
@@ -51,7 +50,7 @@
 		h.network.Serve(id, c.handler(id, way))
 	}
 	h.dispatcher.ApplyListing(h.bootClock(), 0, endpoints)
-	c.registered = endpoints
+	h.registered = endpoints
 
 	return c
 }
--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -28,28 +28,28 @@
 }
 
 // startInstance starts an instance that callers reach at front-NUMBER.
-func (c *crashingEndpoints) startInstance(number int) fleetInstance {
+func (h *harness) startInstance(number int) fleetInstance {
 	name := fmt.Sprint("i", number)
 	d := dispatcher.New(dispatcher.Settings{
 		Name: name, DataCentre: "dc", KeyLeaseDuration: keyLease, ReregistrationWindow: 2 * time.Second,
 		RepeatLimits: retrier.RepeatLimiterSettings{Window: 10 * time.Second, RepeatRatio: 0.2, Burst: 50},
-	}, dispatcher.Clock{Now: time.Now, SinceBoot: c.bootClock}, hclog.NewNullLogger())
+	}, dispatcher.Clock{Now: time.Now, SinceBoot: h.bootClock}, hclog.NewNullLogger())
 	settings := gossiper.DefaultSettings()
 	settings.Name, settings.Address, settings.DataCentre = name, name+":80", "dc"
 	settings.Incarnation, settings.Seeds = uint64(time.Now().UnixNano()), []string{"i0:80", "i1:80"}
-	g := gossiper.New(settings, d, nil, c.network.Client(), meter.New(), hclog.NewNullLogger())
-	connections := connector.New(connector.DefaultSettings(), c.network.Dial)
-	c.network.Serve(fmt.Sprint("front-", number), relayer.New(testCodec{}, d, connections, meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 }))
-	c.network.Serve(name, g.Handler())
+	g := gossiper.New(settings, d, nil, h.network.Client(), meter.New(), hclog.NewNullLogger())
+	connections := connector.New(connector.DefaultSettings(), h.network.Dial)
+	h.network.Serve(fmt.Sprint("front-", number), relayer.New(testCodec{}, d, connections, meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 }))
+	h.network.Serve(name, g.Handler())
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = d.Serve(ctx) }()
 	go func() { _ = g.Serve(ctx) }()
-	d.ApplyListing(c.bootClock(), 0, c.registered)
+	d.ApplyListing(h.bootClock(), 0, h.registered)
 	i := fleetInstance{dispatcher: d}
-	i.confirmConfiguration(c.harness)
+	i.confirmConfiguration(h)
 	i.stop = func() {
-		c.network.Stop(fmt.Sprint("front-", number))
-		c.network.Stop(name)
+		h.network.Stop(fmt.Sprint("front-", number))
+		h.network.Stop(name)
 		cancel()
 		<-g.Done()
 		<-d.Done()
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -41,7 +41,7 @@
 
 	return relayer.RequestMetadata{
 		PromptBlocks: blocks,
-		ID:           header.Get("X-Id"), APIKey: header.Get("X-Key"), LastEventID: header.Get("X-After"),
+		ID:           header.Get("X-Id"), APIKey: header.Get("X-Key"), LastEventID: header.Get("X-After"), ResumedRequestID: header.Get("X-Resumes"),
 		CallerTimeout: time.Duration(timeoutMs) * time.Millisecond,
 	}
 }
@@ -110,6 +110,7 @@
 	bootClock     func() time.Duration
 	wrapConn      func(net.Conn) net.Conn // wraps connections to endpoints; nil for none
 	suspendedTime time.Duration           // time that the machine was suspended; only the boot clock counts it
+	registered    []registrar.Endpoint    // what instances read that are started
 
 	mu               sync.Mutex
 	reachedEndpoints []string // IDs of the endpoints that requests reached, in order of arrival
