pinner, relayer: Let a stream go on only at the version that began it

Cause: nothing knew versions. A repeat within one answer, and a request that takes a stream up, were placed among all endpoints of the service. The class of fault: state that belongs to a stream was kept by none of those who continue it.

- The first event pins the stream to the version of its endpoint, before the caller sees it.
Further attempts go to that version only; without one the answer ends.
The stall detector no longer ends an attempt that cannot go on.
- Pins go to the other instances at once, to all up to 16 and to three beyond.
An instance that takes up a stream looks at its own pins, then asks those that keep them.
Without a pin the request is refused: unknown-version, 503, not run.
A caller that names no request goes on only if one version has been registered in the last minute.
- A registration may be that of an earlier start: an endpoint that restarts may keep its ID.
So the endpoint itself reports its start, once for each connection on which a resumable stream is sent.
If it is not the registered one, the version is unknown.

The harness now delivers pins between instances and registers versions.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -130,6 +130,8 @@
 	conn      *countingConn
 	expiresAt time.Time
 	isReused  bool
+	// endpointStart is when the endpoint at the other end started; nil if unknown.
+	endpointStart *int64
 }
 
 // Open returns an idle connection to the address or, if there is none, opens one.
@@ -138,11 +140,11 @@
 		return idle, nil
 	}
 
-	return c.dial(ctx, address)
+	return c.Dial(ctx, address)
 }
 
-// dial opens a connection.
-func (c *Connector) dial(ctx context.Context, address string) (*Connection, error) {
+// Dial opens a connection to the address, even if there are idle ones.
+func (c *Connector) Dial(ctx context.Context, address string) (*Connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.DialTimeout)
 	defer cancel()
 	var conn *countingConn
@@ -157,7 +159,7 @@
 // Probe opens a connection to the address, which shows whether the endpoint accepts any, and
 // keeps it for a later request unless maxIdle connections to the address are idle already.
 func (c *Connector) Probe(ctx context.Context, address string, maxIdle int) error {
-	conn, err := c.dial(ctx, address)
+	conn, err := c.Dial(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -186,6 +188,22 @@
 	return nil
 }
 
+// EndpointStart returns the time at which the endpoint at the other end started, in
+// milliseconds since the Unix epoch; false if SetEndpointStart was not called.
+func (c *Connection) EndpointStart() (unixMs int64, known bool) {
+	if c.endpointStart == nil {
+		return 0, false
+	}
+
+	return *c.endpointStart, true
+}
+
+// SetEndpointStart sets the time at which the endpoint at the other end started. It does not
+// change while the connection lasts.
+func (c *Connection) SetEndpointStart(unixMs int64) {
+	c.endpointStart = &unixMs
+}
+
 // IsReused reports whether the connection has carried a request before.
 func (c *Connection) IsReused() bool {
 	return c.isReused
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"github.com/oleanderpick/oleanderpick/pkg/isolator"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
 	"github.com/oleanderpick/oleanderpick/pkg/pauser"
+	"github.com/oleanderpick/oleanderpick/pkg/pinner"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
@@ -79,7 +80,7 @@
 	sharedLease    atomic.Pointer[freshener.Lease] // a copy of lease for other goroutines
 
 	// Only the control goroutine uses the following fields, except the atomic ones and
-	// permitSource.
+	// permitSource and pinSource.
 	lease               *freshener.Lease
 	registry            *registrar.Registrar
 	placer              *placer.Placer
@@ -92,6 +93,9 @@
 	hasLimits           atomic.Bool // whether throttler has records
 	permitSource        PermitSource
 	pauser              *pauser.Pauser
+	pinner              *pinner.Pinner
+	pinSource           PinSource
+	onPin               func(pin pinner.Pin, holders []string)
 	brokenAnswers       map[string][]BrokenAnswer // by endpoint ID
 	hasSuspects         atomic.Bool               // whether quarantine has entries
 	lastAttemptID       uint64
@@ -124,6 +128,8 @@
 		isolator:      isolator.New(isolator.DefaultSettings(), settings.Name),
 		throttler:     throttler.New(clock.Now(), settings.Name),
 		pauser:        pauser.New(),
+		pinner:        pinner.New(settings.Name),
+		onPin:         func(pinner.Pin, []string) {},
 		brokenAnswers: map[string][]BrokenAnswer{},
 		onLoadChange:  func(string, placer.Load) {},
 	}
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -185,6 +185,7 @@
 		d.rank = fleet.Rank
 		if len(fleet.Members) > 0 {
 			d.throttler.SetMembers(d.clock.Now(), fleet.Members)
+			d.pinner.SetMembers(fleet.Members)
 		}
 		if d.placer.SetFleetDivided(fleet.IsDivided) {
 			d.logger.Info("Scope of placement changed.", "own data centre first", fleet.IsDivided, "instances", fleet.InstanceCount)
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -1,11 +1,12 @@
-// Package notifier sends load updates to the other instances: datagrams with the sender's
-// current load at one engine, sent at once when a prompt goes to the engine, when its
-// prefill ends and when its answer ends.
+// Package notifier sends datagrams to other instances: load updates, with the sender's
+// current load at one engine, at once when a prompt goes to the engine, when its prefill ends
+// and when its answer ends; and the pins of streams that begin.
 //
 // The gossiper's messages contain all loads, but are exchanged only a few times a second.
 // Between two messages, several instances could choose the same engine because it looks
 // free to each of them. A lost or late load update is corrected by the next
-// message, so updates are neither acknowledged nor sent again.
+// message, so updates are neither acknowledged nor sent again. Pins go to several instances,
+// and one that lacks a pin requests it from the others.
 package notifier
 
 import (
@@ -21,58 +22,64 @@
 	"github.com/oleanderpick/oleanderpick/internal/gossiper"
 	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
+	"github.com/oleanderpick/oleanderpick/pkg/pinner"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 )
 
 const (
-	// maxQueuedUpdates is the number of load updates that wait to be sent. Further ones
-	// are dropped and counted.
+	// maxQueuedUpdates is the number of messages that wait to be sent. Further ones are
+	// dropped and counted.
 	maxQueuedUpdates = 64
-	// maxDatagramBytes is the size of the largest load update that can be received. An
-	// update consists of two names and three numbers.
+	// maxDatagramBytes is the size of the largest datagram that can be received. It consists
+	// of a few names and numbers.
 	maxDatagramBytes = 1200
 	// readRetryDelay is the time between a failed read of the socket and the next one.
 	readRetryDelay = 100 * time.Millisecond
 )
 
-// RecipientList lists the live peers that get load updates.
+// RecipientList lists the live peers that get load updates, and finds instances by name.
 type RecipientList interface {
 	// UpdateAddresses returns the peers' addresses for gossip messages, as IP:PORT.
 	UpdateAddresses() []string
+	// AddressesOf returns those of the named instances.
+	AddressesOf(names []string) []string
 }
 
-// LoadReceiver uses the load updates that peers send.
-type LoadReceiver interface {
+// Receiver uses the datagrams that peers send.
+type Receiver interface {
 	// ReceiveLoadUpdate replaces a peer's load at one endpoint.
 	ReceiveLoadUpdate(peer, endpoint string, load placer.Load)
+	// ReceivePin keeps a peer's pin.
+	ReceivePin(pin pinner.Pin)
 }
 
-// Notifier sends and receives load updates. It runs as a service of a supervisor.
+// Notifier sends and receives load updates and pins. It runs as a service of a supervisor.
 type Notifier struct {
 	instanceName string
 	port         uint16
 	conn         net.PacketConn
 	recipients   RecipientList
-	receiver     LoadReceiver
+	receiver     Receiver
 	counters     *meter.Meter
 	logger       hclog.Logger
-	queue        chan loadUpdate
+	queue        chan queuedMessage
 	done         chan struct{}
 }
 
-// loadUpdate is this instance's load at an endpoint, waiting to be sent to the peers.
-type loadUpdate struct {
-	endpoint string
-	load     placer.Load
+// queuedMessage is a message that waits to be sent. Without holders it goes to all peers that
+// get load updates.
+type queuedMessage struct {
+	message *gossipwire.Message
+	holders []string // names of the instances that keep a pin
 }
 
 // New returns a notifier for the named instance. It receives load updates on conn and
 // passes them to receiver. All instances must listen on the same port. counters count the
 // updates that are dropped, not sent or unreadable.
-func New(instanceName string, port uint16, conn net.PacketConn, recipients RecipientList, receiver LoadReceiver, counters *meter.Meter, logger hclog.Logger) *Notifier {
+func New(instanceName string, port uint16, conn net.PacketConn, recipients RecipientList, receiver Receiver, counters *meter.Meter, logger hclog.Logger) *Notifier {
 	return &Notifier{
 		instanceName: instanceName, port: port, conn: conn, recipients: recipients, receiver: receiver, counters: counters, logger: logger,
-		queue: make(chan loadUpdate, maxQueuedUpdates), done: make(chan struct{}),
+		queue: make(chan queuedMessage, maxQueuedUpdates), done: make(chan struct{}),
 	}
 }
 
@@ -89,8 +96,22 @@
 // QueueUpdate queues this instance's load at an endpoint to be sent to the peers. It does
 // not block: if the queue is full, it drops the update.
 func (n *Notifier) QueueUpdate(endpoint string, load placer.Load) {
+	n.enqueue(queuedMessage{message: &gossipwire.Message{
+		Name: n.instanceName, Loads: []*gossipwire.Load{gossiper.EncodeLoad(endpoint, load)},
+	}})
+}
+
+// QueuePin queues a pin to be sent to the named instances. It does not block: if the queue is
+// full, it drops the pin.
+func (n *Notifier) QueuePin(pin pinner.Pin, holders []string) {
+	if len(holders) > 0 {
+		n.enqueue(queuedMessage{message: &gossipwire.Message{Name: n.instanceName, Pin: gossiper.EncodePin(time.Now(), pin)}, holders: holders})
+	}
+}
+
+func (n *Notifier) enqueue(queued queuedMessage) {
 	select {
-	case n.queue <- loadUpdate{endpoint, load}:
+	case n.queue <- queued:
 	default:
 		n.counters.Add("notes.dropped", 1)
 	}
@@ -114,21 +135,21 @@
 			}
 
 			return ctx.Err()
-		case update := <-n.queue:
-			n.send(update)
+		case queued := <-n.queue:
+			n.send(queued)
 		}
 	}
 }
 
-// send sends a load update to its recipients.
-func (n *Notifier) send(update loadUpdate) {
-	peerAddresses := n.recipients.UpdateAddresses()
-	datagram, err := proto.Marshal(&gossipwire.Message{
-		Name:  n.instanceName,
-		Loads: []*gossipwire.Load{gossiper.EncodeLoad(update.endpoint, update.load)},
-	})
+// send sends a message to its recipients.
+func (n *Notifier) send(queued queuedMessage) {
+	peerAddresses := n.recipients.AddressesOf(queued.holders)
+	if len(queued.holders) == 0 {
+		peerAddresses = n.recipients.UpdateAddresses()
+	}
+	datagram, err := proto.Marshal(queued.message)
 	if err != nil {
-		n.logger.Error("A load update cannot be encoded.", "endpoint", update.endpoint, "error", err)
+		n.logger.Error("A message cannot be encoded.", "error", err)
 
 		return
 	}
@@ -143,8 +164,8 @@
 	}
 }
 
-// updateAddress returns the address at which a peer receives load updates: the host of its
-// address for gossip messages, with the port of load updates.
+// updateAddress returns the address at which a peer receives datagrams: the host of its
+// address for gossip messages, with the port of datagrams.
 func (n *Notifier) updateAddress(peerAddress string) (net.Addr, error) {
 	gossipAddress, err := netip.ParseAddrPort(peerAddress)
 	if err != nil {
@@ -154,14 +175,14 @@
 	return net.UDPAddrFromAddrPort(netip.AddrPortFrom(gossipAddress.Addr(), n.port)), nil
 }
 
-// receive reads load updates from the socket until ctx ends.
+// receive reads datagrams from the socket until ctx ends.
 func (n *Notifier) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
 		size, _, err := n.conn.ReadFrom(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
-				n.logger.Warn("Load updates cannot be read.", "error", err)
+				n.logger.Warn("Datagrams cannot be read.", "error", err)
 				time.Sleep(readRetryDelay)
 			}
 
@@ -176,5 +197,8 @@
 		for _, load := range message.GetLoads() {
 			n.receiver.ReceiveLoadUpdate(message.GetName(), load.GetEndpoint(), gossiper.DecodeLoad(load))
 		}
+		if message.GetPin() != nil {
+			n.receiver.ReceivePin(gossiper.DecodePin(time.Now(), message.GetPin()))
+		}
 	}
 }
--- a/internal/notifier/notifier_test.go
+++ b/internal/notifier/notifier_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/oleanderpick/oleanderpick/internal/meter"
 	"github.com/oleanderpick/oleanderpick/internal/notifier"
+	"github.com/oleanderpick/oleanderpick/pkg/pinner"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 )
 
@@ -69,10 +70,19 @@
 
 func (r fixedRecipients) UpdateAddresses() []string { return r }
 
+func (r fixedRecipients) AddressesOf(names []string) []string { return names }
+
 // loadRecorder records the latest load received for each peer and endpoint.
 type loadRecorder struct {
 	mu          sync.Mutex
 	latestLoads map[string]placer.Load
+	pins        []pinner.Pin
+}
+
+func (r *loadRecorder) ReceivePin(pin pinner.Pin) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pins = append(r.pins, pin)
 }
 
 func (r *loadRecorder) ReceiveLoadUpdate(peer, endpoint string, load placer.Load) {
@@ -109,6 +119,13 @@
 		sender.QueueUpdate("e1", placer.Load{})
 		synctest.Wait()
 		assert.Equal(t, recorderB.latestLoads["a at e1"], placer.Load{})
+
+		pin := pinner.Pin{StreamID: 1 << 63, Service: "s", Version: "v2", ExpiresAt: time.Now().Add(15 * time.Second)}
+		sender.QueuePin(pin, []string{"10.0.0.3:80"})
+		sender.QueuePin(pin, nil)
+		synctest.Wait()
+		assert.Equal(t, len(recorderB.pins), 0)
+		assert.DeepEqual(t, recorderC.pins, []pinner.Pin{pin})
 		cancel()
 		<-sender.Done()
 		<-notifierB.Done()
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -31,6 +31,8 @@
 	endpointLoad *EndpointLoad
 	// rateLimit is the limit that the endpoint stated in its response; nil if none.
 	rateLimit *RateLimit
+	// version is that of the endpoint's software; empty if it is unknown or not needed.
+	version string
 	// hasBegun is true once a whole event of the answer came from the endpoint.
 	hasBegun bool
 	// answered is true once the caller has the final answer.
@@ -170,6 +172,8 @@
 	switch {
 	case errors.Is(a.failureCause, errStaleConfiguration) && !r.mayHaveRun:
 		reason = retrier.ReasonNotRetryable
+	case !r.canGoOn():
+		reason = retrier.ReasonNotResumable
 	case r.isBlockedRepeat(ctx, a):
 		reason = retrier.ReasonQuarantined
 	case errors.Is(a.failureCause, errStalled):
@@ -231,22 +235,15 @@
 	defer cancel(nil)
 	a.stallDetector = r.startStallDetector(ctx, a.placement, cancel)
 	defer a.stallDetector.stop()
-	conn, err := r.relayer.connections.Open(ctx, a.placement.Address)
-	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			r.relayer.dispatcher.RecordEndpointDown(a.placement)
-		}
-		r.failAttempt(ctx, a, err)
-		if a.result == placer.Failed {
-			a.result = placer.Unreachable
-		}
+	if err := r.openConnection(ctx, a); err != nil {
+		r.failUnsent(ctx, a, err)
 
 		return
 	}
-	a.connection = conn
 	a.sentAt = time.Now()
 	request := r.outgoingRequest(ctx, a.placement)
-	a.response, err = conn.Send(request, r.checkBeforeSending) //nolint:bodyclose // The body is read to its end or closed with the connection.
+	response, err := a.connection.Send(request, r.checkBeforeSending) //nolint:bodyclose // The body is read to its end or closed with the connection.
+	a.response = response
 	if err != nil {
 		a.mayHaveRun = !errors.Is(err, connector.ErrNotSent)
 		r.failAttempt(ctx, a, err)
@@ -256,6 +253,30 @@
 	r.handleResponse(ctx, a)
 }
 
+// openConnection opens a connection to the chosen endpoint and finds out its version if that
+// is needed.
+func (r *relayedRequest) openConnection(ctx context.Context, a *attempt) (err error) {
+	if a.connection, err = r.relayer.connections.Open(ctx, a.placement.Address); err != nil {
+		return err
+	}
+
+	return r.checkVersion(ctx, a)
+}
+
+// failUnsent records an attempt that was not sent.
+func (r *relayedRequest) failUnsent(ctx context.Context, a *attempt, cause error) {
+	if errors.Is(cause, syscall.ECONNREFUSED) {
+		r.relayer.dispatcher.RecordEndpointDown(a.placement)
+	}
+	r.failAttempt(ctx, a, cause)
+	switch {
+	case errors.Is(cause, errOtherVersion):
+		a.result = placer.Canceled
+	case a.result == placer.Failed:
+		a.result = placer.Unreachable
+	}
+}
+
 // checkBeforeSending returns an error if the request must not be sent after all. It is
 // called right before the first byte of the request is written.
 func (r *relayedRequest) checkBeforeSending() error {
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -127,6 +127,12 @@
 	ParseResponse(status int, header http.Header) ResponseMetadata
 }
 
+// Codec reads and writes what the platform defines of requests, answers and reports.
+type Codec interface {
+	HeaderCodec
+	ReportReader
+}
+
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/meter"
 	"github.com/oleanderpick/oleanderpick/internal/relayer"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
+	"github.com/oleanderpick/oleanderpick/pkg/pinner"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
 )
 
@@ -41,6 +42,11 @@
 	connections := connector.New(connector.DefaultSettings(), h.network.Dial)
 	h.network.Serve(fmt.Sprint("front-", number), relayer.New(testCodec{}, d, connections, meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 }))
 	h.network.Serve(name, g.Handler())
+	d.SetPinSource(g)
+	d.OnPin(h.deliverPin)
+	h.mu.Lock()
+	h.dispatchers[name] = d
+	h.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = d.Serve(ctx) }()
 	go func() { _ = g.Serve(ctx) }()
@@ -48,6 +54,9 @@
 	i := fleetInstance{dispatcher: d}
 	i.confirmConfiguration(h)
 	i.stop = func() {
+		h.mu.Lock()
+		delete(h.dispatchers, name)
+		h.mu.Unlock()
 		h.network.Stop(fmt.Sprint("front-", number))
 		h.network.Stop(name)
 		cancel()
@@ -59,6 +68,17 @@
 	return i
 }
 
+// deliverPin passes a pin to the named instances that run, as datagrams would.
+func (h *harness) deliverPin(pin pinner.Pin, holders []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, holder := range holders {
+		if d := h.dispatchers[holder]; d != nil && !h.losesPins {
+			go d.ReceivePin(pin)
+		}
+	}
+}
+
 // confirmConfiguration applies the test configuration as read just now.
 func (i fleetInstance) confirmConfiguration(h *harness) {
 	i.dispatcher.ApplyConfiguration(h.bootClock(), matcher.New(testConfiguration()), dispatcher.StoredConfiguration{})
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -76,6 +76,13 @@
 	return metadata
 }
 
+// ReportPath and ParseReport read the report of a versioned endpoint, a decimal number.
+func (testCodec) ReportPath() string { return reportPath }
+
+func (testCodec) ParseReport(report []byte) (int64, error) {
+	return strconv.ParseInt(string(report), 10, 64)
+}
+
 // testRoutes has a route for each kind of request.
 var testRoutes = []matcher.Route{
 	{Name: "once", PathPrefix: "/once/", Kind: matcher.NonIdempotent, MaxRuns: 1},
@@ -111,9 +118,11 @@
 	wrapConn      func(net.Conn) net.Conn // wraps connections to endpoints; nil for none
 	suspendedTime time.Duration           // time that the machine was suspended; only the boot clock counts it
 	registered    []registrar.Endpoint    // what instances read that are started
+	losesPins     bool                    // pins that instances send are lost
 
 	mu               sync.Mutex
-	reachedEndpoints []string // IDs of the endpoints that requests reached, in order of arrival
+	reachedEndpoints []string                          // IDs of the endpoints that requests reached, in order of arrival
+	dispatchers      map[string]*dispatcher.Dispatcher // of the started instances, by name
 }
 
 const keyLease = 5 * time.Second
@@ -122,7 +131,7 @@
 func runWithHarness(t *testing.T, test func(*testing.T, *harness)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		h := &harness{t: t, network: piper.New()}
+		h := &harness{t: t, network: piper.New(), dispatchers: map[string]*dispatcher.Dispatcher{}}
 		startTime := time.Now()
 		h.bootClock = func() time.Duration { return time.Since(startTime) + h.suspendedTime + time.Hour }
 		h.dispatcher = dispatcher.New(dispatcher.Settings{
@@ -168,7 +177,7 @@
 	endpoints := make([]registrar.Endpoint, 0, len(handlers))
 	for i, handler := range handlers {
 		id := fmt.Sprintf("e%d", i)
-		endpoints = append(endpoints, registrar.Endpoint{ID: id, Service: "api", Address: id + ":80", Slots: 6})
+		endpoints = append(endpoints, registrar.Endpoint{ID: id, Service: "api", Address: id + ":80", Slots: 6, Version: "v1"})
 		h.network.Serve(id, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 			h.mu.Lock()
 			h.reachedEndpoints = append(h.reachedEndpoints, id)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -41,7 +41,7 @@
 
 // Relayer is the HTTP handler for callers' requests. It is safe for concurrent use.
 type Relayer struct {
-	codec              HeaderCodec
+	codec              Codec
 	dispatcher         *dispatcher.Dispatcher
 	connections        *connector.Connector
 	crashes            *crashChecker
@@ -54,7 +54,7 @@
 }
 
 // New returns a handler that uses the random function to choose a service by weight.
-func New(codec HeaderCodec, dispatch *dispatcher.Dispatcher, connections *connector.Connector, metrics *meter.Meter, logger hclog.Logger, random func() uint64) *Relayer {
+func New(codec Codec, dispatch *dispatcher.Dispatcher, connections *connector.Connector, metrics *meter.Meter, logger hclog.Logger, random func() uint64) *Relayer {
 	return &Relayer{
 		codec: codec, dispatcher: dispatch, connections: connections, crashes: newCrashChecker(dispatch, connections),
 		meter: metrics, logger: logger, random: random,
@@ -95,6 +95,7 @@
 
 	placementRequest placer.Request
 	answerStarted    bool // a part of the answer was written to the caller
+	hasOrigin        bool // the first event came; placementRequest.Version is that of the stream, empty if unknown
 	lastEventID      int64
 	timeToFirstEvent time.Duration // measured from receivedAt
 	longestEventGap  time.Duration // between two events of a stream
@@ -128,6 +129,11 @@
 	}
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.deadline)
 	defer cancel()
+	if err := request.findOrigin(ctx); err != nil {
+		request.refuse(err)
+
+		return
+	}
 	request.relay(ctx)
 }
 
--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -35,7 +35,8 @@
 type stallDetector struct {
 	request   *relayedRequest
 	canRepeat bool
-	hasBegun  atomic.Bool // whether an event came in this attempt
+	hasBegun  atomic.Bool            // whether an event came in this attempt
+	version   atomic.Pointer[string] // that of the stream, empty if unknown; nil before the first event
 	sentAt    time.Time
 	ctx       context.Context // of the attempt
 	placement dispatcher.Placement
@@ -70,10 +71,12 @@
 	return d
 }
 
-// restart starts the timeout again, after data came from the endpoint.
-func (d *stallDetector) restart() {
+// restart starts the timeout again, after an event of the stream came from the endpoint. An
+// empty version means that the stream cannot go on elsewhere.
+func (d *stallDetector) restart(version string) {
 	if d != nil {
 		d.hasBegun.Store(true)
+		d.version.Store(&version)
 		d.timer.Reset(d.timeout)
 	}
 }
@@ -100,7 +103,11 @@
 			return
 		}
 	}
-	if !d.canRepeat {
+	canRepeat, repeat := d.canRepeat, d.repeat
+	if version := d.version.Load(); version != nil {
+		canRepeat, repeat.Version = canRepeat && *version != "", *version
+	}
+	if !canRepeat {
 		crash := r.reportSilence(d.placement, d.sentAt, d.hasBegun.Load())
 		if <-crash.done; !crash.isDown {
 			d.timer.Reset(d.timeout)
@@ -108,7 +115,7 @@
 
 		return
 	}
-	if !r.relayer.dispatcher.CanPlace(d.repeat) {
+	if !r.relayer.dispatcher.CanPlace(repeat) {
 		d.timer.Reset(d.timeout)
 
 		return
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -64,7 +64,8 @@
 			return
 		}
 		a.hasBegun = true
-		a.stallDetector.restart()
+		r.beginStream(a)
+		a.stallDetector.restart(r.placementRequest.Version)
 		now := time.Now()
 		if first {
 			r.relayer.dispatcher.RecordFirstEvent(a.placement)
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -60,7 +60,7 @@
 	Dialect storer.Dialect
 	Decoder PlatformDecoder
 	// Codec translates between the platform's headers and the relayer.
-	Codec relayer.HeaderCodec
+	Codec relayer.Codec
 	// ReadyPath is the path at which the load balancer asks whether the instance is
 	// ready.
 	ReadyPath string
@@ -121,6 +121,7 @@
 	r.metricsServer = &http.Server{Handler: counters.Handler(), ReadHeaderTimeout: requestHeaderTimeout}
 	r.gossiper = r.newGossiper(platform.Decoder, counters, logger.Named("gossiper"))
 	r.dispatcher.SetPermitSource(r.gossiper)
+	r.dispatcher.SetPinSource(r.gossiper)
 	r.peerServer = &http.Server{Handler: r.gossiper.Handler(), ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: peerIdleTimeout}
 	instanceAnnouncer := announcer.New(announcer.Settings{
 		Kind: platform.Decoder.InstanceKind(), Name: settings.Name, Address: settings.PeerListen,
@@ -279,6 +280,7 @@
 	}
 	loadNotifier := notifier.New(r.settings.Name, uint16(r.settings.LoadUpdatePort), conn, r.gossiper, r.dispatcher, r.counters, r.logger.Named("notifier"))
 	r.dispatcher.OnLoadChange(loadNotifier.QueueUpdate)
+	r.dispatcher.OnPin(loadNotifier.QueuePin)
 	r.supervisor.Add(loadNotifier)
 
 	return nil
--- a/pkg/answerer/kind.go
+++ b/pkg/answerer/kind.go
@@ -85,6 +85,9 @@
 	// KindHeldBack is a request that crashed endpoints and is not run for a
 	// while. Unlike KindQuarantined, its HTTP status allows a later retry.
 	KindHeldBack
+	// KindUnknownVersion is a stream that the caller takes up although it is unknown which
+	// version of the endpoints' software began it.
+	KindUnknownVersion
 	// KindSlowBody is a request whose body did not arrive in time.
 	KindSlowBody
 
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -130,7 +130,7 @@
 	var earliest time.Time
 	for id, until := range request.Blocked {
 		e := p.endpoints[id]
-		if e != nil && e.Service == request.Service && e.isEligible() && (earliest.IsZero() || until.Before(earliest)) {
+		if e != nil && e.Service == request.Service && e.isEligible() && request.fitsVersion(e) && (earliest.IsZero() || until.Before(earliest)) {
 			earliest = until
 		}
 	}
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -28,6 +28,9 @@
 	// CanCopyCache reports whether the service's engines can copy cached blocks
 	// from each other's memory.
 	CanCopyCache bool
+	// Version is the only software version whose endpoints may get the request; empty if all
+	// may.
+	Version string
 	// Tier is the request's priority at an engine, from 0, the highest, to TierCount-1.
 	// Engines run requests of higher tiers first.
 	Tier int
@@ -41,6 +44,11 @@
 	Blocked map[string]time.Time
 }
 
+// fitsVersion reports whether the endpoint has the version that the request must have.
+func (r *Request) fitsVersion(e *endpoint) bool {
+	return r.Version == "" || e.Version == r.Version
+}
+
 // prefixGroup returns the ID of the request's prefix group: the block that it shares
 // with the fewest other requests, the last but one. It is zero if the request shares
 // no block.
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -47,11 +47,11 @@
 
 // usable returns the endpoints that are expected to accept the request. If there are
 // none, it returns those that the request has not been sent to yet, and if there are
-// none of these either, all that are not blocked: a wrong judgement of the endpoints'
-// health must not make the service unavailable.
+// none of these either, all that are not blocked and have its version: a wrong judgement
+// of the endpoints' health must not make the service unavailable.
 func (s *search) usable(endpoints []*endpoint) []*endpoint {
-	if len(s.request.Blocked) > 0 {
-		endpoints = slices.DeleteFunc(slices.Clone(endpoints), s.isBlocked)
+	if len(s.request.Blocked) > 0 || s.request.Version != "" {
+		endpoints = slices.DeleteFunc(slices.Clone(endpoints), func(e *endpoint) bool { return s.isBlocked(e) || !s.request.fitsVersion(e) })
 	}
 	untried := slices.DeleteFunc(slices.Clone(endpoints), func(e *endpoint) bool { return slices.Contains(s.request.AvoidEndpoints, e.ID) })
 	if accepting := s.acceptingOf(untried); len(accepting) > 0 {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -72,9 +72,8 @@
 
 // removedEntry is an incarnation that the registry no longer listed.
 type removedEntry struct {
-	id            string
-	startedUnixMs int64
-	removedAt     time.Time
+	endpoint  Endpoint
+	removedAt time.Time
 }
 
 const (
@@ -126,6 +125,9 @@
 
 			continue
 		}
+		if known, ok := r.entries[endpoint.ID]; ok && known.StartedUnixMs != endpoint.StartedUnixMs {
+			r.rememberRemoved(now, known)
+		}
 		r.setEntry(endpoint)
 	}
 	for id := range r.entries {
@@ -145,16 +147,16 @@
 	}
 
 	return slices.ContainsFunc(r.removed, func(e removedEntry) bool {
-		return e.id == listed.ID && e.startedUnixMs >= listed.StartedUnixMs
+		return e.endpoint.ID == listed.ID && e.endpoint.StartedUnixMs >= listed.StartedUnixMs
 	})
 }
 
 // rememberRemoved remembers that the registry no longer lists an incarnation.
 func (r *Registrar) rememberRemoved(now time.Time, endpoint Endpoint) {
-	r.removed = append(r.removed, removedEntry{endpoint.ID, endpoint.StartedUnixMs, now})
+	r.removed = append(r.removed, removedEntry{endpoint, now})
 	expired := 0
 	for expired < len(r.removed) && (len(r.removed)-expired > maxRemovedEntries || now.Sub(r.removed[expired].removedAt) > removedEntryTTL) {
-		delete(r.leaving, r.removed[expired].id)
+		delete(r.leaving, r.removed[expired].endpoint.ID)
 		expired++
 	}
 	r.removed = r.removed[expired:]
@@ -225,6 +227,33 @@
 	return true
 }
 
+// OnlyVersion returns the version of a service's software if it is the only one of which
+// endpoints are registered, or were within removedEntryTTL. It returns false if there are
+// several, or if an endpoint's is unknown.
+func (r *Registrar) OnlyVersion(service string) (string, bool) {
+	versions := map[string]bool{}
+	for _, endpoints := range []map[string]Endpoint{r.entries, r.heldBack} {
+		for _, endpoint := range endpoints {
+			if endpoint.Service == service {
+				versions[endpoint.Version] = true
+			}
+		}
+	}
+	for _, removed := range r.removed {
+		if removed.endpoint.Service == service {
+			versions[removed.endpoint.Version] = true
+		}
+	}
+	if len(versions) != 1 || versions[""] {
+		return "", false
+	}
+	for version := range versions {
+		return version, true
+	}
+
+	return "", false
+}
+
 // HasListing reports whether the registry has been listed at least once.
 func (r *Registrar) HasListing() bool {
 	return r.hasListing
