--- a/internal/dispatcher/pin.go
+++ b/internal/dispatcher/pin.go
@@ -90,7 +90,7 @@
 // OnlyVersion returns the version of a service's software if it is the only one of which
 // endpoints are, or were shortly before, registered.
 func (d *Dispatcher) OnlyVersion(service string) (version string, ok bool) {
-	d.runAndWait(func() { version, ok = d.registry.OnlyVersion(service) })
+	d.runAndWait(func() { version, ok = d.registry.OnlyVersion(d.clock.Now(), service) })
 
 	return version, ok
 }
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -230,7 +230,7 @@
 // OnlyVersion returns the version of a service's software if it is the only one of which
 // endpoints are registered, or were within removedEntryTTL. It returns false if there are
 // several, or if an endpoint's is unknown.
-func (r *Registrar) OnlyVersion(service string) (string, bool) {
+func (r *Registrar) OnlyVersion(now time.Time, service string) (string, bool) {
 	versions := map[string]bool{}
 	for _, endpoints := range []map[string]Endpoint{r.entries, r.heldBack} {
 		for _, endpoint := range endpoints {
@@ -240,7 +240,7 @@
 		}
 	}
 	for _, removed := range r.removed {
-		if removed.endpoint.Service == service {
+		if removed.endpoint.Service == service && now.Sub(removed.removedAt) <= removedEntryTTL {
 			versions[removed.endpoint.Version] = true
 		}
 	}
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -108,3 +108,26 @@
 	applyListing(r, 7*time.Second, restarted, endpointB)
 	assert.Equal(t, endpointIDs(r), "ab", "it has started again")
 }
+
+func TestOnlyVersionCountsEndpointsThatLeftShortlyBefore(t *testing.T) {
+	r := registrar.New(registrar.Settings{})
+	list := func(now time.Time, endpoints ...registrar.Endpoint) {
+		r.RecordReachable(now)
+		r.ApplyListing(now, endpoints)
+	}
+	endpoint := func(id, version string, startedUnixMs int64) registrar.Endpoint {
+		return registrar.Endpoint{ID: id, Service: "s", Version: version, StartedUnixMs: startedUnixMs}
+	}
+	now := time.Unix(1e9, 0)
+	list(now, endpoint("a", "v1", 1), registrar.Endpoint{ID: "p", Service: "other", Version: "v7"})
+	version, ok := r.OnlyVersion(now, "s")
+	assert.Assert(t, ok && version == "v1")
+	list(now.Add(time.Second), endpoint("a", "v2", 2))
+	_, ok = r.OnlyVersion(now.Add(time.Second), "s")
+	assert.Assert(t, !ok, "the earlier start had v1")
+	version, ok = r.OnlyVersion(now.Add(70*time.Second), "s")
+	assert.Assert(t, ok && version == "v2")
+	list(now.Add(71*time.Second), endpoint("b", "", 3))
+	_, ok = r.OnlyVersion(now.Add(3*time.Minute), "s")
+	assert.Assert(t, !ok, "an unknown version")
+}
