--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -195,21 +195,21 @@
 	return min(n-1, max(1, int(math.Round(scaled))))
 }
 
-// cacheSource returns an engine that has so much more of the prompt cached than e
-// that e should copy it; nil if there is none.
+// cacheSource returns an engine of the same version that has so much more of the prompt
+// cached than e that e should copy it; nil if there is none.
 func (s *search) cacheSource(e *endpoint) *endpoint {
 	if !s.request.CanCopyCache {
 		return nil
 	}
 	alreadyCached := e.cache.cachedTokens(s.request.Blocks)
 	best := cheapest(s.eligible, func(other *endpoint) float64 {
-		if !other.canAccept(s.now) {
+		if !other.canAccept(s.now) || other.Version != e.Version {
 			return 0
 		}
 
 		return -float64(other.cache.cachedTokens(s.request.Blocks))
 	})
-	if best == nil || best == e || !best.canAccept(s.now) || best.cache.cachedTokens(s.request.Blocks) < alreadyCached+minCopyTokens {
+	if best == nil || best == e || !best.canAccept(s.now) || best.Version != e.Version || best.cache.cachedTokens(s.request.Blocks) < alreadyCached+minCopyTokens {
 		return nil
 	}
 
--- a/pkg/placer/version_test.go
+++ b/pkg/placer/version_test.go
@@ -29,3 +29,18 @@
 		}
 	}
 }
+
+// Guards against an engine that copies what an engine of another version cached.
+func TestBlocksAreCopiedOnlyFromTheSameVersion(t *testing.T) {
+	for version, want := range map[string]string{"v1": "a:80", "v2": ""} {
+		p := placer.New(placer.Settings{InstanceName: "i0"})
+		p.Configure([]registrar.Endpoint{
+			{ID: "a", Service: "llm", Address: "a:80", Version: "v1", Slots: 64}, {ID: "b", Service: "llm", Address: "b:80", Version: version, Slots: 64},
+		})
+		request := longRequest(1, 1)
+		request.AvoidEndpoints = []string{"b"}
+		p.RecordSent(start, 1, pick(t, p, start, request), request)
+		request.AvoidEndpoints = []string{"a"}
+		assert.Equal(t, pick(t, p, start, request).CacheSourceAddress, want, version)
+	}
+}
