--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -202,7 +202,7 @@
 	r.relayer.logger.Info("Refused.", "request", r.metadata.ID, "route", r.route.Name, "kind", answer.Name,
 		"status", answer.Status, "outcome", answer.Outcome.String(), "cause", err.Error(), "configuration", r.configurationNumber(),
 		"fresh configuration", r.relayer.dispatcher.IsConfigurationFresh(), "retry after ms", err.RetryAfter.Milliseconds(),
-		"ms", time.Since(r.receivedAt).Milliseconds())
+		"ms", time.Since(r.receivedAt).Milliseconds(), "connection ms", r.connectionAge().Milliseconds())
 	body, marshalErr := json.Marshal(map[string]string{"error": answer.Name, "outcome": answer.Outcome.String()})
 	if marshalErr != nil {
 		body = []byte("{}")
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -78,6 +78,26 @@
 	return r.inFlight.Load()
 }
 
+// connectionTimeKey is the context key of the time at which the caller's connection was opened.
+type connectionTimeKey struct{}
+
+// WithConnectionTime returns the context of a caller's connection that was opened at a time. It
+// is for the ConnContext of the server that the handler runs in.
+func WithConnectionTime(ctx context.Context, openedAt time.Time) context.Context {
+	return context.WithValue(ctx, connectionTimeKey{}, openedAt)
+}
+
+// connectionAge returns how long before the request the caller's connection was opened; -1 if
+// unknown.
+func (r *relayedRequest) connectionAge() time.Duration {
+	openedAt, ok := r.incoming.Context().Value(connectionTimeKey{}).(time.Time)
+	if !ok {
+		return -1
+	}
+
+	return r.receivedAt.Sub(openedAt)
+}
+
 // relayedRequest is the state of one request from its arrival to its final answer.
 type relayedRequest struct {
 	relayer     *Relayer
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -115,6 +115,9 @@
 		ReadHeaderTimeout: requestHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         r.callerConnections.onStateChange,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return relayer.WithConnectionTime(ctx, time.Now())
+		},
 		ErrorLog:          logger.Named("callers").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	r.statusServer = &http.Server{Handler: r.newStatusHandler(platform.ReadyPath), ReadHeaderTimeout: requestHeaderTimeout}
