--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -39,7 +39,7 @@
 	settings.Name, settings.Address, settings.DataCentre = name, name+":80", "dc"
 	settings.Incarnation, settings.Seeds = uint64(time.Now().UnixNano()), []string{"i0:80", "i1:80"}
 	g := gossiper.New(settings, d, nil, h.network.Client(), meter.New(), hclog.NewNullLogger())
-	connections := connector.New(connector.DefaultSettings(), h.network.Dial)
+	connections := connector.New(connector.DefaultSettings(), h.dialFrom(name))
 	h.network.Serve(fmt.Sprint("front-", number), relayer.New(testCodec{}, d, connections, meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 }))
 	h.network.Serve(name, g.Handler())
 	d.SetPinSource(g)
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -119,6 +119,7 @@
 	suspendedTime time.Duration           // time that the machine was suspended; only the boot clock counts it
 	registered    []registrar.Endpoint    // what instances read that are started
 	losesPins     bool                    // pins that instances send are lost
+	partition     *partition              // of started instances from endpoints; nil for none
 
 	mu               sync.Mutex
 	reachedEndpoints []string                          // IDs of the endpoints that requests reached, in order of arrival
