prober, relayer: Pass requests on to peers while no endpoint can be reached

Cause: an instance took each failed connection for a fault of that endpoint. It never concluded that it was cut off itself, and had no other way for a request than its own.

- After a connection could not be opened, or an endpoint was silent, an instance probes three others of the service.
If none accepts a connection in two rounds, it is cut off from the service, until one does.
Only new connections count, so links that live on are no proof, and a silent second is no cut.
- Messages between instances state the services that the sender is cut off from.
- A request for such a service goes to a peer that is not, and so does one that could not connect to two endpoints.
The peer treats it like a caller's: key, route, tier, limits, deadline.
It does not pass it on again.
A request is offered to three peers at the most and never sent twice if a byte may have left; runs so far and the configuration applied so far travel with it.
- Refused connections count as an endpoint's crash only if the instance is not cut off.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -130,6 +130,7 @@
 	conn      *countingConn
 	expiresAt time.Time
 	isReused  bool
+	isNew     bool
 	// endpointStart is when the endpoint at the other end started; nil if unknown.
 	endpointStart *int64
 }
@@ -137,6 +138,8 @@
 // Open returns an idle connection to the address or, if there is none, opens one.
 func (c *Connector) Open(ctx context.Context, address string) (*Connection, error) {
 	if idle := c.takeIdle(address); idle != nil {
+		idle.isNew = false
+
 		return idle, nil
 	}
 
@@ -153,7 +156,7 @@
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
 
-	return &Connection{address: address, client: client, conn: conn}, nil
+	return &Connection{address: address, client: client, conn: conn, isNew: true}, nil
 }
 
 // Probe opens a connection to the address, which shows whether the endpoint accepts any, and
@@ -188,6 +191,11 @@
 	return nil
 }
 
+// IsNew reports whether the connection was opened for its current user.
+func (c *Connection) IsNew() bool {
+	return c.isNew
+}
+
 // EndpointStart returns the time at which the endpoint at the other end started, in
 // milliseconds since the Unix epoch; false if SetEndpointStart was not called.
 func (c *Connection) EndpointStart() (unixMs int64, known bool) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -77,6 +77,8 @@
 
 	currentMatcher atomic.Pointer[matcher.Matcher]
 	instanceCount  atomic.Int64
+	peerReaches    atomic.Pointer[[]PeerReach]
+	reach          atomic.Pointer[reachSummary]
 	sharedLease    atomic.Pointer[freshener.Lease] // a copy of lease for other goroutines
 
 	// Only the control goroutine uses the following fields, except the atomic ones and
@@ -93,6 +95,7 @@
 	hasLimits           atomic.Bool // whether throttler has records
 	permitSource        PermitSource
 	pauser              *pauser.Pauser
+	reaches             map[string]*serviceReach // by service
 	pinner              *pinner.Pinner
 	pinSource           PinSource
 	onPin               func(pin pinner.Pin, holders []string)
@@ -112,7 +115,7 @@
 // New returns a dispatcher without a configuration or endpoints. Most of its
 // methods block until Serve runs.
 func New(settings Settings, clock Clock, logger hclog.Logger) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		clock:         clock,
 		logger:        logger,
 		name:          settings.Name,
@@ -128,11 +131,15 @@
 		isolator:      isolator.New(isolator.DefaultSettings(), settings.Name),
 		throttler:     throttler.New(clock.Now(), settings.Name),
 		pauser:        pauser.New(),
+		reaches:       map[string]*serviceReach{},
 		pinner:        pinner.New(settings.Name),
 		onPin:         func(pinner.Pin, []string) {},
 		brokenAnswers: map[string][]BrokenAnswer{},
 		onLoadChange:  func(string, placer.Load) {},
 	}
+	d.reach.Store(&reachSummary{})
+
+	return d
 }
 
 // Configure replaces the limits. It does not change the name and the data centre.
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -128,6 +128,7 @@
 	d.throttler.Retain(d.placer.HasEndpoint)
 	d.pauser.Retain(d.placer.HasEndpoint)
 	d.hasLimits.Store(d.throttler.HasRecords())
+	d.publishReach()
 }
 
 // DataAges returns the times since the reads that last confirmed the configuration and the
@@ -175,11 +176,14 @@
 	// Members are the sorted names of the live instances that are not leaving. The homes
 	// of limited endpoints are chosen from them.
 	Members []string
+	// PeerReaches are those of the live peers that are not leaving.
+	PeerReaches []PeerReach
 }
 
 // SetFleet sets what is known of all instances.
 func (d *Dispatcher) SetFleet(fleet Fleet) {
 	d.instanceCount.Store(int64(fleet.InstanceCount))
+	d.peerReaches.Store(&fleet.PeerReaches)
 	d.runAndWait(func() {
 		d.repeatLimiter.SetInstanceCount(fleet.InstanceCount)
 		d.rank = fleet.Rank
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -102,6 +102,7 @@
 	dataCentre    string
 	incarnation   uint64
 	leaving       bool
+	cutOffFrom    []string  // services of which it says that it reaches no endpoint
 	lastMessageAt time.Time // when its last message arrived
 	lastAttemptAt time.Time // when this instance last started an exchange with it
 	addedAt       time.Time
@@ -190,8 +191,8 @@
 
 // describeFleet returns the number of instances, including this one, the number of
 // those that come before it by name, are not leaving and sent a message within
-// their rankTimeout, whether the fleet is divided, and its members. Addresses without a
-// name count as instances until livenessTimeout after they were added.
+// their rankTimeout, whether the fleet is divided, its members, and which services
+// they reach. Addresses without a name count as instances until livenessTimeout after they were added.
 func (g *Gossiper) describeFleet(now time.Time) dispatcher.Fleet {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -209,6 +210,7 @@
 		}
 		if p.name != "" && !p.leaving && now.Sub(p.lastMessageAt) < g.memberTimeout(fleet, p) {
 			described.Members = append(described.Members, p.name)
+			described.PeerReaches = append(described.PeerReaches, dispatcher.PeerReach{Address: p.address, CutOffFrom: p.cutOffFrom})
 		}
 	}
 	slices.Sort(described.Members)
@@ -290,7 +292,7 @@
 			"data centre", message.GetDataCentre(), "incarnation", message.GetIncarnation(), "leaving", message.GetLeaving())
 	}
 	p.name, p.dataCentre, p.lastMessageAt = message.GetName(), message.GetDataCentre(), now
-	p.incarnation, p.leaving = message.GetIncarnation(), message.GetLeaving()
+	p.incarnation, p.leaving, p.cutOffFrom = message.GetIncarnation(), message.GetLeaving(), message.GetCutOff()
 
 	return true
 }
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -37,6 +37,7 @@
 		Address:     g.settings.Address,
 		Incarnation: g.settings.Incarnation,
 		Leaving:     leaving,
+		CutOff:      g.dispatcher.CutOffFrom(),
 		Known:       uint32(len(addresses)),
 		Brief:       !includeLoads,
 		DataCentre:  g.settings.DataCentre,
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -45,7 +45,7 @@
 
 		return
 	}
-	if n == maxBufferedBytes && promisesNotRun(a.response.StatusCode) {
+	if n == maxBufferedBytes && promisesNotRun(a.response.StatusCode) && !a.isPeer {
 		r.failAttempt(ctx, a, errors.Errorf("status %d with a body of %d bytes or more", a.response.StatusCode, n))
 
 		return
@@ -74,8 +74,11 @@
 // acceptAnswer reports whether the answer is the final one. A 5xx status of a request
 // that may be repeated is kept instead, for the case that no other attempt succeeds. A
 // status that promises that the request has not run is not accepted either, since answers
-// that the endpoint marked as not run were handled before.
+// that the endpoint marked as not run were handled before. What a peer answers is final.
 func (r *relayedRequest) acceptAnswer(a *attempt, body []byte) bool {
+	if a.isPeer {
+		return true
+	}
 	status := a.response.StatusCode
 	if promisesNotRun(status) {
 		return false
@@ -109,7 +112,7 @@
 	if err != nil {
 		a.result = placer.Failed
 		a.connection.Close()
-		if r.incoming.Context().Err() == nil {
+		if r.incoming.Context().Err() == nil && !a.isPeer {
 			r.reportBrokenAnswer(a, false)
 		}
 		r.abortCallerConnection(errors.Wrap(err, "large answer was truncated"))
@@ -203,6 +206,7 @@
 		"status", answer.Status, "outcome", answer.Outcome.String(), "cause", err.Error(), "configuration", r.configurationNumber(),
 		"fresh configuration", r.relayer.dispatcher.IsConfigurationFresh(), "retry after ms", err.RetryAfter.Milliseconds(),
 		"ms", time.Since(r.receivedAt).Milliseconds(), "connection ms", r.connectionAge().Milliseconds())
+	r.markElsewhere(err.Kind)
 	body, marshalErr := json.Marshal(map[string]string{"error": answer.Name, "outcome": answer.Outcome.String()})
 	if marshalErr != nil {
 		body = []byte("{}")
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -21,8 +21,9 @@
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
 )
 
-// attempt is one sending of a request to an endpoint.
+// attempt is one sending of a request to an endpoint, or to a peer.
 type attempt struct {
+	isPeer     bool
 	placement  dispatcher.Placement
 	connection *connector.Connection
 	sentAt     time.Time
@@ -73,6 +74,15 @@
 
 			return
 		}
+		if r.shouldPassOn() {
+			switch r.passOn(ctx) {
+			case answered:
+				return
+			case mayRepeat:
+				continue
+			case notTaken:
+			}
+		}
 		placement, ok := r.relayer.dispatcher.Place(ctx, r.placementRequest, first)
 		if !ok {
 			r.finishUnplaced(ctx, placement.RetryAfter)
@@ -259,21 +269,22 @@
 	if a.connection, err = r.relayer.connections.Open(ctx, a.placement.Address); err != nil {
 		return err
 	}
+	if a.connection.IsNew() {
+		r.relayer.dispatcher.RecordConnected(r.placementRequest.Service)
+	}
 
 	return r.checkVersion(ctx, a)
 }
 
 // failUnsent records an attempt that was not sent.
 func (r *relayedRequest) failUnsent(ctx context.Context, a *attempt, cause error) {
-	if errors.Is(cause, syscall.ECONNREFUSED) {
-		r.relayer.dispatcher.RecordEndpointDown(a.placement)
-	}
 	r.failAttempt(ctx, a, cause)
 	switch {
 	case errors.Is(cause, errOtherVersion):
 		a.result = placer.Canceled
 	case a.result == placer.Failed:
 		a.result = placer.Unreachable
+		r.relayer.crashes.reportUnreachable(r.placementRequest.Service, a.placement, errors.Is(cause, syscall.ECONNREFUSED))
 	}
 }
 
@@ -300,19 +311,26 @@
 	case ctx.Err() != nil && !r.isEndpointSilent(a):
 		a.result = placer.Canceled
 	}
-	// If sent bytes are not acknowledged or the endpoint is silent, idle connections
-	// to it may be dead too.
-	if a.result == placer.Failed && (errors.Is(cause, syscall.ETIMEDOUT) || r.isEndpointSilent(a)) {
-		r.relayer.connections.CloseIdle(a.placement.Address)
+	if a.result == placer.Failed && !a.isPeer {
+		r.reportIfSilent(a, cause)
 	}
 	if a.connection != nil {
 		a.connection.Close()
 	}
-	if a.mayHaveRun && a.result == placer.Failed && (!stalled || r.route.Kind == matcher.Streaming) {
+	if a.mayHaveRun && !a.isPeer && a.result == placer.Failed && (!stalled || r.route.Kind == matcher.Streaming) {
 		r.reportBrokenAnswer(a, stalled || r.isEndpointSilent(a))
 	}
 }
 
+// reportIfSilent reports that the endpoint may be out of reach if it does not acknowledge what was
+// sent or is silent. Idle connections to it may be dead too then, so they are closed.
+func (r *relayedRequest) reportIfSilent(a *attempt, cause error) {
+	if errors.Is(cause, syscall.ETIMEDOUT) || r.isEndpointSilent(a) {
+		r.relayer.reach.reportUnreachable(r.placementRequest.Service, a.placement.EndpointID)
+		r.relayer.connections.CloseIdle(a.placement.Address)
+	}
+}
+
 // isEndpointSilent reports whether the endpoint has sent nothing on any request for so
 // long that it counts as failed, although the caller has disconnected or the deadline
 // has passed.
@@ -323,7 +341,7 @@
 	}
 	silence := time.Since(lastActivity)
 
-	return a.mayHaveRun && silence >= silenceTimeout && r.relayer.dispatcher.SinceLastActivity(a.placement) >= silence
+	return a.mayHaveRun && !a.isPeer && silence >= silenceTimeout && r.relayer.dispatcher.SinceLastActivity(a.placement) >= silence
 }
 
 // fingerprint returns a hash of the request and its workspace. Identical requests of a
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -123,6 +123,9 @@
 	// OutgoingHeader returns the headers of the request to an endpoint, made from the
 	// caller's headers.
 	OutgoingHeader(header http.Header, forwarding ForwardingMetadata) http.Header
+	// PassedOnHeader returns the headers of the request to a peer, made from the caller's
+	// headers. The peer reads them as a caller's.
+	PassedOnHeader(header http.Header, metadata PassedOnMetadata) http.Header
 	// ParseResponse reads the status code and headers of an endpoint's answer.
 	ParseResponse(status int, header http.Header) ResponseMetadata
 }
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -19,6 +19,7 @@
 type crashChecker struct {
 	dispatcher  *dispatcher.Dispatcher
 	connections *connector.Connector
+	reach       *reachChecker
 
 	mu     sync.Mutex
 	checks map[string]*crashCheck // in progress, by endpoint ID
@@ -31,13 +32,13 @@
 	wasSilent bool // an attempt that waits for the check found the endpoint silent
 }
 
-func newCrashChecker(dispatch *dispatcher.Dispatcher, connections *connector.Connector) *crashChecker {
-	return &crashChecker{dispatcher: dispatch, connections: connections, checks: map[string]*crashCheck{}}
+func newCrashChecker(dispatch *dispatcher.Dispatcher, connections *connector.Connector, reach *reachChecker) *crashChecker {
+	return &crashChecker{dispatcher: dispatch, connections: connections, reach: reach, checks: map[string]*crashCheck{}}
 }
 
-// check starts a check of the placement's endpoint, unless one is in progress, and returns
+// check starts a check of the placement's endpoint of a service, unless one is in progress, and returns
 // it. An endpoint that fell silent also counts as down if it does not answer at all.
-func (c *crashChecker) check(placement dispatcher.Placement, maxIdle int, wasSilent bool) *crashCheck {
+func (c *crashChecker) check(service string, placement dispatcher.Placement, maxIdle int, wasSilent bool) *crashCheck {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if running, ok := c.checks[placement.EndpointID]; ok {
@@ -50,9 +51,10 @@
 	go func() {
 		defer close(started.done)
 		err := c.connections.Probe(context.Background(), placement.Address, maxIdle)
+		isCutOff := err != nil && c.awaitReach(service, placement)
 		c.mu.Lock()
 		delete(c.checks, placement.EndpointID)
-		started.isDown = errors.Is(err, syscall.ECONNREFUSED) || (started.wasSilent && isTimeout(err))
+		started.isDown = !isCutOff && (errors.Is(err, syscall.ECONNREFUSED) || (started.wasSilent && isTimeout(err)))
 		c.mu.Unlock()
 		if started.isDown {
 			c.dispatcher.RecordEndpointDown(placement)
@@ -62,6 +64,28 @@
 	return started
 }
 
+// awaitReach reports whether the instance is cut off from all endpoints of a service, after it
+// could not connect to one. It may take some attempts to connect to others.
+func (c *crashChecker) awaitReach(service string, placement dispatcher.Placement) bool {
+	<-c.reach.reportUnreachable(service, placement.EndpointID)
+
+	return c.dispatcher.IsCutOffFrom(service)
+}
+
+// reportUnreachable records that an endpoint of a service could not be connected to. If it refused the
+// connection, it is down, unless the instance turns out to be cut off.
+func (c *crashChecker) reportUnreachable(service string, placement dispatcher.Placement, refused bool) {
+	checked := c.reach.reportUnreachable(service, placement.EndpointID)
+	if !refused {
+		return
+	}
+	go func() {
+		if <-checked; !c.dispatcher.IsCutOffFrom(service) {
+			c.dispatcher.RecordEndpointDown(placement)
+		}
+	}()
+}
+
 func isTimeout(err error) bool {
 	var networkError net.Error
 
@@ -79,7 +103,7 @@
 	r.relayer.dispatcher.RecordBrokenAnswer(a.placement, dispatcher.BrokenAnswer{
 		Fingerprint: r.fingerprint(), Blocks: r.metadata.SharedBlocks(), HasBegun: a.hasBegun, BrokenAt: time.Now(),
 	})
-	a.crashCheck = r.relayer.crashes.check(a.placement, r.maxIdleConnections(), false)
+	a.crashCheck = r.relayer.crashes.check(r.placementRequest.Service, a.placement, r.maxIdleConnections(), false)
 }
 
 // reportSilence is reportBrokenAnswer for an attempt whose endpoint sends nothing on any
@@ -93,7 +117,7 @@
 		Fingerprint: r.fingerprint(), Blocks: r.metadata.SharedBlocks(), HasBegun: hasBegun, BrokenAt: brokenAt,
 	})
 
-	return r.relayer.crashes.check(placement, r.maxIdleConnections(), true)
+	return r.relayer.crashes.check(r.placementRequest.Service, placement, r.maxIdleConnections(), true)
 }
 
 // isBlockedRepeat reports whether the request may not be sent to another endpoint after an
@@ -132,8 +156,12 @@
 // recordCompletion records that a whole answer came, so that neither the request nor the
 // blocks of its prompt crash endpoints. Only a success shows that for the blocks. An answer
 // that ends with its connection may have been ended by a crash: once endpoints have
-// crashed, it counts only if its endpoint still accepts connections.
+// crashed, it counts only if its endpoint still accepts connections. A peer records what it
+// forwards itself.
 func (r *relayedRequest) recordCompletion(a *attempt) {
+	if a.isPeer {
+		return
+	}
 	dispatch := r.relayer.dispatcher
 	var blocks []uint64
 	if a.response.StatusCode/100 == 2 && (a.hasBegun || !isEventStream(a.response.Header)) {
@@ -156,7 +184,7 @@
 
 		return
 	}
-	check := r.relayer.crashes.check(a.placement, r.maxIdleConnections(), false)
+	check := r.relayer.crashes.check(r.placementRequest.Service, a.placement, r.maxIdleConnections(), false)
 	go func() {
 		if <-check.done; !check.isDown {
 			dispatch.RecordCompletion(fingerprint)
--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -40,8 +40,16 @@
 	settings.Incarnation, settings.Seeds = uint64(time.Now().UnixNano()), []string{"i0:80", "i1:80"}
 	g := gossiper.New(settings, d, nil, h.network.Client(), meter.New(), hclog.NewNullLogger())
 	connections := connector.New(connector.DefaultSettings(), h.dialFrom(name))
-	h.network.Serve(fmt.Sprint("front-", number), relayer.New(testCodec{}, d, connections, meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 }))
-	h.network.Serve(name, g.Handler())
+	peers := connector.New(connector.DefaultSettings(), h.network.Dial)
+	relay := relayer.New(testCodec{}, d, connections, peers, meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 })
+	h.network.Serve(fmt.Sprint("front-", number), relay)
+	h.network.Serve(name, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if relayer.IsPassedOn(request) {
+			relay.ServePassedOn(w, request)
+		} else {
+			g.Handler().ServeHTTP(w, request)
+		}
+	}))
 	d.SetPinSource(g)
 	d.OnPin(h.deliverPin)
 	h.mu.Lock()
@@ -63,6 +71,7 @@
 		<-g.Done()
 		<-d.Done()
 		connections.Close()
+		peers.Close()
 	}
 
 	return i
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -61,6 +61,18 @@
 	return outgoing
 }
 
+func (testCodec) PassedOnHeader(header http.Header, metadata relayer.PassedOnMetadata) http.Header {
+	passedOn := header.Clone()
+	relayer.StripHopByHopHeaders(passedOn)
+	for name, value := range map[string]string{"X-After": metadata.LastEventID, "X-Resumes": metadata.ResumedRequestID} {
+		if value != "" {
+			passedOn.Set(name, value)
+		}
+	}
+
+	return passedOn
+}
+
 func (testCodec) ParseResponse(status int, header http.Header) relayer.ResponseMetadata {
 	metadata := relayer.ResponseMetadata{
 		RequestID: header.Get("X-Id"), NotRun: header.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
@@ -140,7 +152,7 @@
 			RepeatLimits: retrier.RepeatLimiterSettings{Window: 10 * time.Second, RepeatRatio: 0.2, Burst: 50},
 		}, dispatcher.Clock{Now: time.Now, SinceBoot: func() time.Duration { return h.bootClock() }}, hclog.NewNullLogger())
 		connections := connector.New(connector.DefaultSettings(), h.dialEndpoint)
-		h.relayer = relayer.New(testCodec{}, h.dispatcher, connections, meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 })
+		h.relayer = relayer.New(testCodec{}, h.dispatcher, connections, connector.New(connector.DefaultSettings(), h.network.Dial), meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 })
 		h.network.Serve("front", h.relayer)
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _ = h.dispatcher.Serve(ctx) }()
--- a/internal/relayer/partition_test.go
+++ b/internal/relayer/partition_test.go
@@ -135,25 +135,34 @@
 				for n := 0; time.Since(cutAt) < 9*time.Second; n++ {
 					for number := range instances {
 						instances[number].confirmConfiguration(h)
-						callers.Go(func() { h.sendFirstTry(&tally, number, n, cutAt.Add(3*time.Second)) })
+						callers.Go(func() {
+							h.sendFirstTry(&tally, fmt.Sprint("front-", number), fmt.Sprint("i", number), n, cutAt.Add(3*time.Second))
+						})
 					}
 					time.Sleep(50 * time.Millisecond)
 				}
 				callers.Wait()
 				h.partition.setActive(false)
-				t.Logf("%d of %d served at instances that are cut off, %d of %d elsewhere", tally.cutServed, tally.cutSent, tally.served, tally.sent)
-				assert.Assert(t, 3*tally.cutServed*tally.sent >= 2*tally.served*tally.cutSent, "%d of %d served at instances that are cut off, %d of %d elsewhere", tally.cutServed, tally.cutSent, tally.served, tally.sent)
+				tally.check(t)
 			})
 		})
 	}
 }
 
+// check checks that instances that are cut off serve two thirds as often as the others.
+func (tally *partitionTally) check(t *testing.T) {
+	t.Helper()
+	text := fmt.Sprintf("%d of %d served at instances that are cut off, %d of %d elsewhere", tally.cutServed, tally.cutSent, tally.served, tally.sent)
+	t.Log(text)
+	assert.Assert(t, 3*tally.cutServed*tally.sent >= 2*tally.served*tally.cutSent, text)
+}
+
 // sendFirstTry sends a request to an instance and counts it if it is sent at countedFrom or
 // later.
-func (h *harness) sendFirstTry(tally *partitionTally, instance, n int, countedFrom time.Time) {
+func (h *harness) sendFirstTry(tally *partitionTally, host, instance string, n int, countedFrom time.Time) {
 	path := []string{"/once/x", "/often/x", "/stream/x", "/resume/x"}[n%4]
 	request := h.newRequest(http.MethodPost, path, fmt.Sprint("body ", instance, n))
-	request.URL.Host, request.Host = fmt.Sprint("front-", instance), "front"
+	request.URL.Host, request.Host = host, "front"
 	request.Header.Set("X-Id", fmt.Sprint("r", instance, "-", n))
 	isCounted := !time.Now().Before(countedFrom)
 	stream := &receivedStream{}
@@ -172,7 +181,7 @@
 	}
 	switch {
 	case !isCounted:
-	case slices.Contains(h.partition.instances, fmt.Sprint("i", instance)):
+	case slices.Contains(h.partition.instances, instance):
 		tally.cutSent++
 		tally.cutServed += served
 	default:
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -44,6 +44,8 @@
 	codec              Codec
 	dispatcher         *dispatcher.Dispatcher
 	connections        *connector.Connector
+	peers              *connector.Connector // connections to other instances
+	reach              *reachChecker
 	crashes            *crashChecker
 	meter              *meter.Meter
 	logger             hclog.Logger
@@ -53,11 +55,16 @@
 	inFlight           atomic.Int64
 }
 
-// New returns a handler that uses the random function to choose a service by weight.
-func New(codec Codec, dispatch *dispatcher.Dispatcher, connections *connector.Connector, metrics *meter.Meter, logger hclog.Logger, random func() uint64) *Relayer {
+// New returns a handler that sends requests to endpoints on connections, or passes them on to
+// peers if it reaches none. It uses the random function to choose a service by weight, and a
+// peer.
+func New(codec Codec, dispatch *dispatcher.Dispatcher, connections, peers *connector.Connector, metrics *meter.Meter, logger hclog.Logger, random func() uint64) *Relayer {
+	reach := newReachChecker(dispatch, connections)
+
 	return &Relayer{
-		codec: codec, dispatcher: dispatch, connections: connections, crashes: newCrashChecker(dispatch, connections),
-		meter: metrics, logger: logger, random: random,
+		codec: codec, dispatcher: dispatch, connections: connections, peers: peers, reach: reach,
+		crashes: newCrashChecker(dispatch, connections, reach),
+		meter:   metrics, logger: logger, random: random,
 	}
 }
 
@@ -126,10 +133,17 @@
 	mayHaveRun       bool          // true if possibleRuns > 0
 	endpointFailure  *endpointFailure
 	isOnTrial        bool // allowed to find out whether a block still crashes endpoints
+	isPassedOn       bool // a peer sent the request, which reaches no endpoint
+	hasOfferedPeers  bool // no peer took the request
 }
 
 // ServeHTTP relays one request to an endpoint and forwards the answer.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
+	r.serve(w, incoming, passedOnState{})
+}
+
+// serve is ServeHTTP for a request that a caller sent or a peer passes on.
+func (r *Relayer) serve(w http.ResponseWriter, incoming *http.Request, passedOn passedOnState) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	request := &relayedRequest{
@@ -138,11 +152,13 @@
 		incoming:   incoming,
 		metadata:   r.codec.ParseRequest(incoming.Header),
 		receivedAt: time.Now(),
+
+		isPassedOn: passedOn.isPassedOn, possibleRuns: passedOn.possibleRuns, mayHaveRun: passedOn.possibleRuns > 0,
 	}
 	if r.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := request.admit(); err != nil {
+	if err := request.admit(passedOn.configurationNumber); err != nil {
 		request.refuse(err)
 
 		return
@@ -158,11 +174,15 @@
 }
 
 // admit finds the request's route, workspace and deadline and reads its body. It
-// returns an error if the request must be refused.
-func (r *relayedRequest) admit() *answerer.Error {
+// returns an error if the request must be refused, also if the configuration is older than
+// minConfiguration.
+func (r *relayedRequest) admit(minConfiguration uint64) *answerer.Error {
 	if r.awaitConfiguration(); r.matcher == nil {
 		return answerer.New(answerer.KindNoConfiguration, "No configuration is known yet.").WithRetryAfter(startRetryAfter)
 	}
+	if r.matcher.Number() < minConfiguration {
+		return answerer.New(answerer.KindNoConfiguration, "The configuration is older than the peer's.").WithRetryAfter(reconnectRetryAfter)
+	}
 	path, _, _ := strings.Cut(r.requestTarget(), "?")
 	route, ok := r.matcher.Route(r.incoming.Host, path)
 	if !ok {
@@ -184,7 +204,7 @@
 	}
 	r.preparePlacement()
 
-	return nil
+	return r.checkReach()
 }
 
 // requestTarget returns the path and query exactly as the caller sent them. A
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -85,6 +85,11 @@
 // together keep at most half of the connections that the endpoint accepts idle. This
 // instance keeps an equal share of that half.
 func (r *relayedRequest) releaseConnection(a *attempt) {
+	if a.isPeer {
+		r.relayer.peers.Release(a.connection, a.response, maxIdlePeerConnections)
+
+		return
+	}
 	r.relayer.connections.Release(a.connection, a.response, r.maxIdleConnections())
 }
 
--- a/internal/relayer/version_fleet_test.go
+++ b/internal/relayer/version_fleet_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,8 +49,12 @@
 	nodes      map[string]*versionNode
 	history    [][]registrar.Endpoint // listings of the registry, the current one last
 	epoch      uint64
+	peerDraws  atomic.Uint64
 }
 
+// drawPeer returns numbers that spread requests evenly over peers.
+func (f *versionFleet) drawPeer() uint64 { return f.peerDraws.Add(1) }
+
 // versionNode is one instance of a versionFleet.
 type versionNode struct {
 	dispatcher *dispatcher.Dispatcher
@@ -88,8 +94,10 @@
 		Name: name, KeyLeaseDuration: time.Hour, ReregistrationWindow: 2 * time.Second,
 		RepeatLimits: retrier.RepeatLimiterSettings{Window: 10 * time.Second, RepeatRatio: 1, Burst: 500},
 	}, dispatcher.Clock{Now: time.Now, SinceBoot: f.bootClock}, hclog.NewNullLogger())
-	connections := connector.New(connector.DefaultSettings(), f.network.Dial)
-	f.network.Serve("front-"+name, relayer.New(testCodec{}, d, connections, meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 }))
+	connections, peers := connector.New(connector.DefaultSettings(), f.dialFrom(name)), connector.New(connector.DefaultSettings(), f.network.Dial)
+	relay := relayer.New(testCodec{}, d, connections, peers, meter.New(), hclog.NewNullLogger(), f.drawPeer)
+	f.network.Serve("front-"+name, relay)
+	f.network.Serve(name, http.HandlerFunc(relay.ServePassedOn))
 	link := peerLink{f, name}
 	d.SetPinSource(link)
 	d.OnPin(func(pin pinner.Pin, holders []string) { go f.deliver(name, pin, holders) })
@@ -102,12 +110,28 @@
 	d.ApplyListing(f.bootClock(), f.epoch, f.history[len(f.history)-1])
 	f.nodes[name] = &versionNode{dispatcher: d, startedAt: time.Now(), stop: func() {
 		f.network.Stop("front-" + name)
+		f.network.Stop(name)
 		cancel()
 		<-d.Done()
 		connections.Close()
+		peers.Close()
 	}}
 }
 
+// tellReach tells each instance which endpoints the others reach.
+func (f *versionFleet) tellReach() {
+	f.fleetMutex.Lock()
+	defer f.fleetMutex.Unlock()
+	reaches := make([]dispatcher.PeerReach, 0, len(f.members))
+	for _, name := range f.members {
+		reaches = append(reaches, dispatcher.PeerReach{Address: name + ":80", CutOffFrom: f.nodes[name].dispatcher.CutOffFrom()})
+	}
+	for i, name := range f.members {
+		others := slices.Concat(reaches[:i], reaches[i+1:])
+		f.nodes[name].dispatcher.SetFleet(dispatcher.Fleet{InstanceCount: len(f.members), Members: f.members, PeerReaches: others})
+	}
+}
+
 // deliver passes an instance's pin to its holders, unless it is lost.
 func (f *versionFleet) deliver(from string, pin pinner.Pin, holders []string) {
 	for _, holder := range holders {
@@ -239,14 +263,7 @@
 	t.Helper()
 	runWithHarness(t, func(_ *testing.T, h *harness) {
 		h.serveVersions(0, "v1", "v2", "v3", "v1", "v2", "v3", "v1", "v2", "v3")
-		f := &versionFleet{harness: h, faults: faults, random: rand.New(rand.NewPCG(faults.seed, 1)), nodes: map[string]*versionNode{}}
-		f.history = [][]registrar.Endpoint{append([]registrar.Endpoint(nil), h.registered...)}
-		for n := range instanceCount {
-			f.members = append(f.members, instanceNumber(n))
-		}
-		for _, name := range f.members {
-			f.start(name)
-		}
+		f := h.startVersionFleet(instanceCount, faults)
 		var streams sync.WaitGroup
 		for n := range 100 {
 			f.step()
@@ -257,14 +274,32 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		streams.Wait()
-		for _, node := range f.nodes {
-			node.stop()
-		}
+		f.stop()
 	})
 
 	return tally
 }
 
+// startVersionFleet starts so many instances.
+func (h *harness) startVersionFleet(instanceCount int, faults versionFaults) *versionFleet {
+	f := &versionFleet{harness: h, faults: faults, random: rand.New(rand.NewPCG(faults.seed, 1)), nodes: map[string]*versionNode{}}
+	f.history = [][]registrar.Endpoint{append([]registrar.Endpoint(nil), h.registered...)}
+	for n := range instanceCount {
+		f.members = append(f.members, instanceNumber(n))
+	}
+	for _, name := range f.members {
+		f.start(name)
+	}
+
+	return f
+}
+
+func (f *versionFleet) stop() {
+	for _, node := range f.nodes {
+		node.stop()
+	}
+}
+
 func instanceNumber(n int) string { return fmt.Sprintf("n%02d", n) }
 
 func drawVersionFaults(t *rapid.T) versionFaults {
--- a/internal/relayrunner/connection_tracker.go
+++ b/internal/relayrunner/connection_tracker.go
@@ -108,10 +108,10 @@
 	}
 }
 
-// idleSweeper closes idle connections, both those of callers and those to endpoints.
+// idleSweeper closes idle connections, both those of callers and those to endpoints and peers.
 type idleSweeper struct {
-	endpoints *connector.Connector
-	callers   *connectionTracker
+	pools   []*connector.Connector
+	callers *connectionTracker
 }
 
 // String returns the name that the supervisor logs.
@@ -128,7 +128,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			s.endpoints.CloseExpired()
+			for _, pool := range s.pools {
+				pool.CloseExpired()
+			}
 			s.callers.closeExpired(now)
 		}
 	}
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -74,6 +74,7 @@
 	relayer             *relayer.Relayer
 	gossiper            *gossiper.Gossiper
 	endpointConnections *connector.Connector
+	peerConnections     *connector.Connector // for requests that are passed on
 	counters            *meter.Meter
 	callerConnections   *connectionTracker
 	supervisor          *suture.Supervisor
@@ -104,7 +105,8 @@
 	r.stopTimeoutNs.Store(int64(settings.StopTimeout))
 	r.dispatcher = dispatcher.New(dispatcherSettings(settings), dispatcher.Clock{Now: time.Now, SinceBoot: clock.SinceBoot}, logger.Named("dispatcher"))
 	r.endpointConnections = connector.New(connector.DefaultSettings(), connector.NewDialFunc(connector.DefaultSettings()))
-	r.relayer = relayer.New(platform.Codec, r.dispatcher, r.endpointConnections, counters, logger.Named("relayer"), rand.Uint64)
+	r.peerConnections = connector.New(connector.DefaultSettings(), connector.NewDialFunc(connector.DefaultSettings()))
+	r.relayer = relayer.New(platform.Codec, r.dispatcher, r.endpointConnections, r.peerConnections, counters, logger.Named("relayer"), rand.Uint64)
 	store := storer.New(settings.PlatformURL, &http.Client{Transport: newStoreTransport()}).
 		WithTimeout(storeTimeout).WithDialect(platform.Dialect)
 	platformWatcher := watcher.New(watcher.DefaultReadPolicy(), store, platform.Decoder, r.dispatcher, logger.Named("watcher"))
@@ -118,14 +120,14 @@
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 			return relayer.WithConnectionTime(ctx, time.Now())
 		},
-		ErrorLog:          logger.Named("callers").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ErrorLog: logger.Named("callers").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	r.statusServer = &http.Server{Handler: r.newStatusHandler(platform.ReadyPath), ReadHeaderTimeout: requestHeaderTimeout}
 	r.metricsServer = &http.Server{Handler: counters.Handler(), ReadHeaderTimeout: requestHeaderTimeout}
 	r.gossiper = r.newGossiper(platform.Decoder, counters, logger.Named("gossiper"))
 	r.dispatcher.SetPermitSource(r.gossiper)
 	r.dispatcher.SetPinSource(r.gossiper)
-	r.peerServer = &http.Server{Handler: r.gossiper.Handler(), ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: peerIdleTimeout}
+	r.peerServer = &http.Server{Handler: r.newPeerHandler(), ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: peerIdleTimeout}
 	instanceAnnouncer := announcer.New(announcer.Settings{
 		Kind: platform.Decoder.InstanceKind(), Name: settings.Name, Address: settings.PeerListen,
 		RetryDelay: announcer.DefaultRetryDelay, ListInterval: announcer.DefaultListInterval,
@@ -173,7 +175,7 @@
 	for _, service := range services {
 		r.supervisor.Add(service)
 	}
-	r.supervisor.Add(&idleSweeper{endpoints: r.endpointConnections, callers: r.callerConnections})
+	r.supervisor.Add(&idleSweeper{pools: []*connector.Connector{r.endpointConnections, r.peerConnections}, callers: r.callerConnections})
 }
 
 // callerIdleTimeout returns how long a caller's connection may stay idle by the current
@@ -186,6 +188,18 @@
 	return 0
 }
 
+// newPeerHandler returns the handler for peers: of messages, and of requests that they pass on.
+func (r *Runner) newPeerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if relayer.IsPassedOn(request) {
+			r.relayer.ServePassedOn(w, request)
+
+			return
+		}
+		r.gossiper.Handler().ServeHTTP(w, request)
+	})
+}
+
 // newStatusHandler returns the handler by which the load balancer asks whether this
 // instance is ready. It answers 503 while the instance is not ready or stops.
 func (r *Runner) newStatusHandler(readyPath string) http.Handler {
@@ -232,6 +246,7 @@
 		r.logger.Warn("Supervisor ended.", "error", err)
 	}
 	r.endpointConnections.Close()
+	r.peerConnections.Close()
 	r.logger.Info("Stopped.")
 
 	return nil
--- a/pkg/answerer/kind.go
+++ b/pkg/answerer/kind.go
@@ -88,6 +88,9 @@
 	// KindUnknownVersion is a stream that the caller takes up although it is unknown which
 	// version of the endpoints' software began it.
 	KindUnknownVersion
+	// KindUnreachable is a request that a peer passed on to an instance that reaches no
+	// endpoint either.
+	KindUnreachable
 	// KindSlowBody is a request whose body did not arrive in time.
 	KindSlowBody
 
