protector, dispatcher: Keep brittle endpoints from rejecting too often

Endpoints that state how many rejections a second they bear (Server-Brittle) fell over under load, because rejections by one endpoint come from all instances together and none of them counted the others'. Nothing read the header.

- One endpoint's statement counts for all of its service.
It spreads in the instances' messages, and ends with a served request that does not state it.
- A request for a brittle endpoint that is half full needs a permit of the endpoint's home.
The home lends permits freely while it knows of room, so that no two instances take the same place, and beyond that at half of the rate that the endpoint bears.
Peers hear of each rejection at once; the endpoint then counts as full at a little less than it ran.
- Without a permit the request goes elsewhere or is refused at once (endpoints-limited, 503, not run).
Room for lower tiers ends earlier.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"github.com/oleanderpick/oleanderpick/pkg/pauser"
 	"github.com/oleanderpick/oleanderpick/pkg/pinner"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/protector"
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
@@ -96,6 +97,9 @@
 	permitSource        PermitSource
 	pauser              *pauser.Pauser
 	reaches             map[string]*serviceReach // by service
+	protector           *protector.Protector
+	hasBrittle          atomic.Bool // whether protector has statements
+	onRejection         func(endpoint string)
 	pinner              *pinner.Pinner
 	pinSource           PinSource
 	onPin               func(pin pinner.Pin, holders []string)
@@ -132,6 +136,8 @@
 		throttler:     throttler.New(clock.Now(), settings.Name),
 		pauser:        pauser.New(),
 		reaches:       map[string]*serviceReach{},
+		protector:     protector.New(clock.Now(), settings.Name),
+		onRejection:   func(string) {},
 		pinner:        pinner.New(settings.Name),
 		onPin:         func(pinner.Pin, []string) {},
 		brokenAnswers: map[string][]BrokenAnswer{},
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -27,6 +27,8 @@
 	Suspects []quarantiner.Entry
 	// Blocks are the prompt blocks that were present when endpoints crashed.
 	Blocks []isolator.Record
+	// Rejections are the recent ones by brittle endpoints.
+	Rejections []Rejection
 	// Versions are those of the sender's configuration and endpoints.
 	Versions Versions
 }
@@ -80,6 +82,7 @@
 		}
 		message.Suspects = d.suspectsToShare(now)
 		message.Blocks = d.blocksToShare(now)
+		message.Rejections = d.recentRejections(now)
 		configurationAge, endpointsAge := d.dataAges()
 		if configurationAge >= 0 {
 			message.Versions.ConfigurationNumber, message.Versions.ConfigurationAge = d.currentMatcher.Load().Number(), configurationAge
@@ -118,6 +121,7 @@
 		d.placer.ReceivePrefills(message.Prefills)
 		d.mergeSuspects(d.clock.Now(), message.Suspects)
 		d.mergeBlocks(d.clock.Now(), message.Blocks)
+		d.recordRejections(message.Rejections)
 	})
 }
 
--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -27,6 +28,9 @@
 	Statement throttler.Statement
 	// Tier is the tier of the request that needs the permit.
 	Tier int
+	// IsBrittle reports whether the permit is for an endpoint that is brittle, and Statement the
+	// rate of its permits.
+	IsBrittle bool
 }
 
 // PermitSource gets permits from the homes of endpoints.
@@ -63,21 +67,55 @@
 	return d.permitSource.RequestPermit(ctx, need.home, need.request)
 }
 
+// takePermits takes the permits that a request of a tier for an endpoint needs, because the
+// endpoint states a limit or is brittle. Unless the action is throttler.Send, need says which
+// permit is missing. A permit for the limit that has been taken then is lost.
+func (d *Dispatcher) takePermits(now time.Time, endpoint string, tier int) (action throttler.Action, need *permitNeed) {
+	action, home := d.throttler.Take(now, endpoint, tier)
+	if action != throttler.Send {
+		statement, _ := d.throttler.Statement(endpoint)
+
+		return action, &permitNeed{home: home, request: PermitRequest{Statement: statement, Tier: tier}}
+	}
+	if !d.needsProtection(now, endpoint, tier) {
+		return throttler.Send, nil
+	}
+	action, home = d.protector.Take(now, endpoint, tier, d.occupancy(endpoint))
+
+	return action, &permitNeed{home: home, request: PermitRequest{Statement: d.protector.Statement(endpoint), Tier: tier, IsBrittle: true}}
+}
+
+// permitBook records the replies of the homes of endpoints.
+type permitBook interface {
+	RecordReply(now time.Time, endpoint string, tier int, reply throttler.Reply, isAnswered bool)
+	LastReply(endpoint string) throttler.Reply
+}
+
+// permitBookOf returns the book to which the replies to a request for a permit belong.
+func (d *Dispatcher) permitBookOf(request PermitRequest) permitBook {
+	if request.IsBrittle {
+		return d.protector
+	}
+
+	return d.throttler
+}
+
 // recordReply records a home's reply and logs it.
 func (d *Dispatcher) recordReply(request placer.Request, need *permitNeed, reply throttler.Reply, err error) {
 	endpoint := need.request.Statement.Endpoint
-	d.throttler.RecordReply(d.clock.Now(), endpoint, need.request.Tier, reply, err == nil)
-	d.logPermit(request, endpoint, need.home, reply, err)
+	d.permitBookOf(need.request).RecordReply(d.clock.Now(), endpoint, need.request.Tier, reply, err == nil)
+	d.logPermit(request, need, reply, err)
 }
 
 // logPermit logs the reply of an endpoint's home to a request for a permit.
-func (d *Dispatcher) logPermit(request placer.Request, endpoint, home string, reply throttler.Reply, err error) {
-	statement, _ := d.throttler.Statement(endpoint)
+func (d *Dispatcher) logPermit(request placer.Request, need *permitNeed, reply throttler.Reply, err error) {
+	statement := need.request.Statement
+	home := cmp.Or(need.home, d.name)
 	cause := ""
 	if err != nil {
 		cause = err.Error()
 	}
-	d.logger.Info("Requested a permit.", "request", request.ID, "endpoint", endpoint, "limit", statement.Limit.Rate,
+	d.logger.Info("Requested a permit.", "request", request.ID, "endpoint", statement.Endpoint, "limit", statement.Limit.Rate, "brittle", need.request.IsBrittle,
 		"limit age ms", d.clock.Now().Sub(statement.MadeAt).Milliseconds(), "home", home, "tier", request.Tier,
 		"permits", reply.Permits, "reason", string(reply.Reason), "wait ms", reply.Wait.Milliseconds(), "error", cause)
 }
@@ -87,7 +125,7 @@
 func (d *Dispatcher) CanPlace(request placer.Request) (ok bool) {
 	d.runAndWait(func() {
 		now := d.clock.Now()
-		request.Blocked = d.blockedEndpoints(now, request.Tier, false)
+		request.Blocked = d.addProtected(now, d.blockedEndpoints(now, request.Tier, false), request.Tier, false)
 		_, ok = d.placer.Pick(now, request)
 	})
 
@@ -104,6 +142,11 @@
 
 			return
 		}
+		if request.IsBrittle {
+			reply = d.protector.Lend(d.clock.Now(), request.Statement, request.Tier, d.occupancy(endpoint))
+
+			return
+		}
 		before, _ := d.throttler.Statement(endpoint)
 		reply = d.throttler.Lend(d.clock.Now(), request.Statement, request.Tier)
 		d.logLimitChange(endpoint, before, "borrower")
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -127,6 +127,7 @@
 	d.placer.Configure(d.registry.Endpoints())
 	d.throttler.Retain(d.placer.HasEndpoint)
 	d.pauser.Retain(d.placer.HasEndpoint)
+	d.protector.SetEndpoints(d.clock.Now(), d.registry.Endpoints())
 	d.hasLimits.Store(d.throttler.HasRecords())
 	d.publishReach()
 }
@@ -189,6 +190,7 @@
 		d.rank = fleet.Rank
 		if len(fleet.Members) > 0 {
 			d.throttler.SetMembers(d.clock.Now(), fleet.Members)
+			d.protector.SetMembers(d.clock.Now(), fleet.Members)
 			d.pinner.SetMembers(fleet.Members)
 		}
 		if d.placer.SetFleetDivided(fleet.IsDivided) {
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -53,7 +53,7 @@
 func (d *Dispatcher) tryToPlace(request placer.Request, mayRequest bool) (placement Placement, need *permitNeed, ok bool) {
 	now := d.clock.Now()
 	for {
-		request.Blocked = d.blockedEndpoints(now, request.Tier, mayRequest)
+		request.Blocked = d.addProtected(now, d.blockedEndpoints(now, request.Tier, mayRequest), request.Tier, mayRequest)
 		placement.Choice, ok = d.placer.Pick(now, request)
 		if !ok {
 			if until := d.placer.BlockedUntil(request); !until.IsZero() {
@@ -67,11 +67,10 @@
 
 			return placement, nil, true
 		}
-		switch action, home := d.throttler.Take(now, placement.EndpointID, request.Tier); action {
+		action, need := d.takePermits(now, placement.EndpointID, request.Tier)
+		switch action {
 		case throttler.RequestPermit:
-			statement, _ := d.throttler.Statement(placement.EndpointID)
-
-			return placement, &permitNeed{home: home, request: PermitRequest{Statement: statement, Tier: request.Tier}}, false
+			return placement, need, false
 		case throttler.Send:
 			d.lastAttemptID++
 			placement.attemptID = d.lastAttemptID
@@ -80,7 +79,7 @@
 
 			return placement, nil, true
 		case throttler.Avoid: // The endpoint is blocked now, so the next choice is another one.
-			d.logPermit(request, placement.EndpointID, d.name, d.throttler.LastReply(placement.EndpointID), nil)
+			d.logPermit(request, need, d.permitBookOf(need.request).LastReply(placement.EndpointID), nil)
 		}
 	}
 }
@@ -101,9 +100,9 @@
 const minUncachedTokensToReport = 256
 
 // reportLoadChange passes this instance's load at the placement's endpoint to the function
-// that OnLoadChange set, if the endpoint is an engine.
+// that OnLoadChange set, if the endpoint is an engine or may be brittle.
 func (d *Dispatcher) reportLoadChange(placement Placement) {
-	if placement.HasPrompt {
+	if placement.HasPrompt || d.HasBrittleEndpoints() {
 		d.onLoadChange(placement.EndpointID, d.placer.LocalLoad(placement.EndpointID))
 	}
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -255,6 +255,7 @@
 	g.meter.Add("gossip.told", 1)
 	if g.receiveMessage(reply) {
 		g.dispatcher.ReceiveLimits(decodeLimits(sentAt, reply.GetLimits()))
+		g.dispatcher.ReceiveBrittleServices(decodeLimits(sentAt, reply.GetBrittle()))
 		g.fetchFromPeer(ctx, p.address, g.dispatcher.ReceiveVersions(sentSinceBoot, decodeMessage(reply).Versions))
 	}
 }
@@ -308,6 +309,7 @@
 	s.gossiper.receiveMessage(message)
 	reply := s.gossiper.buildMessage(message.GetAddress(), int(message.GetKnown()), !message.GetBrief())
 	reply.Limits = encodeLimits(time.Now(), s.gossiper.dispatcher.Limits())
+	reply.Brittle = encodeLimits(time.Now(), s.gossiper.dispatcher.BrittleServices())
 
 	return reply, nil
 }
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -59,6 +59,9 @@
 		message.Suspects = append(message.Suspects, encodeSuspect(now, entry))
 	}
 	message.Blocks = blockencoder.Encode(now, state.Blocks)
+	for _, rejection := range state.Rejections {
+		message.Rejections = append(message.Rejections, &gossipwire.Rejection{Endpoint: rejection.EndpointID, AgeMs: toMilliseconds(now.Sub(rejection.At))})
+	}
 
 	return message
 }
@@ -146,6 +149,18 @@
 	return entry
 }
 
+// DecodeRejections returns rejections from their wire form. Ages count back from now.
+func DecodeRejections(now time.Time, encoded []*gossipwire.Rejection) []dispatcher.Rejection {
+	rejections := make([]dispatcher.Rejection, 0, len(encoded))
+	for _, rejection := range encoded {
+		rejections = append(rejections, dispatcher.Rejection{
+			EndpointID: rejection.GetEndpoint(), At: now.Add(-time.Duration(rejection.GetAgeMs()) * time.Millisecond),
+		})
+	}
+
+	return rejections
+}
+
 // toMilliseconds returns an age in milliseconds, limited to the range from 0 to 2^31.
 func toMilliseconds(age time.Duration) uint32 {
 	return uint32(min(max(0, age.Milliseconds()), 1<<31))
@@ -173,6 +188,7 @@
 		decoded.Suspects = append(decoded.Suspects, decodeSuspect(now, suspect))
 	}
 	decoded.Blocks = blockencoder.Decode(now, message.GetBlocks())
+	decoded.Rejections = DecodeRejections(now, message.GetRejections())
 	decoded.Versions = dispatcher.Versions{
 		ConfigurationNumber: message.GetNumber(),
 		ConfigurationAge:    time.Duration(message.GetAgeMs()) * time.Millisecond,
--- a/internal/gossiper/permit.go
+++ b/internal/gossiper/permit.go
@@ -19,7 +19,7 @@
 		return throttler.Reply{}, errors.Errorf("address of instance %q is unknown", home)
 	}
 	reply, err := gossipwire.NewGossipProtobufClient("http://"+address, g.client).Permit(ctx, &gossipwire.PermitRequest{
-		Tier: uint32(max(0, request.Tier)), Limit: encodeLimit(time.Now(), request.Statement),
+		Tier: uint32(max(0, request.Tier)), Limit: encodeLimit(time.Now(), request.Statement), Brittle: request.IsBrittle,
 	})
 	if err != nil {
 		g.meter.Add("permits.unanswered", 1)
@@ -57,7 +57,7 @@
 // Permit answers a peer's request for permits.
 func (s *gossipServer) Permit(_ context.Context, request *gossipwire.PermitRequest) (*gossipwire.PermitReply, error) {
 	reply := s.gossiper.dispatcher.Lend(dispatcher.PermitRequest{
-		Statement: decodeLimit(time.Now(), request.GetLimit()), Tier: int(request.GetTier()),
+		Statement: decodeLimit(time.Now(), request.GetLimit()), Tier: int(request.GetTier()), IsBrittle: request.GetBrittle(),
 	})
 
 	return &gossipwire.PermitReply{Permits: uint32(max(0, reply.Permits)), WaitMs: toMilliseconds(reply.Wait), Reason: string(reply.Reason)}, nil
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/internal/gossiper"
 	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
@@ -51,6 +52,8 @@
 	ReceiveLoadUpdate(peer, endpoint string, load placer.Load)
 	// ReceivePin keeps a peer's pin.
 	ReceivePin(pin pinner.Pin)
+	// ReceiveRejections records rejections by brittle endpoints.
+	ReceiveRejections(rejections []dispatcher.Rejection)
 }
 
 // Notifier sends and receives load updates and pins. It runs as a service of a supervisor.
@@ -109,6 +112,12 @@
 	}
 }
 
+// QueueRejection queues the news that a brittle endpoint has just rejected a request. It does not
+// block: if the queue is full, it drops the news.
+func (n *Notifier) QueueRejection(endpoint string) {
+	n.enqueue(queuedMessage{message: &gossipwire.Message{Name: n.instanceName, Rejections: []*gossipwire.Rejection{{Endpoint: endpoint}}}})
+}
+
 func (n *Notifier) enqueue(queued queuedMessage) {
 	select {
 	case n.queue <- queued:
@@ -197,6 +206,7 @@
 		for _, load := range message.GetLoads() {
 			n.receiver.ReceiveLoadUpdate(message.GetName(), load.GetEndpoint(), gossiper.DecodeLoad(load))
 		}
+		n.receiver.ReceiveRejections(gossiper.DecodeRejections(time.Now(), message.GetRejections()))
 		if message.GetPin() != nil {
 			n.receiver.ReceivePin(gossiper.DecodePin(time.Now(), message.GetPin()))
 		}
--- a/internal/notifier/notifier_test.go
+++ b/internal/notifier/notifier_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
 	"github.com/oleanderpick/oleanderpick/internal/notifier"
 	"github.com/oleanderpick/oleanderpick/pkg/pinner"
@@ -79,6 +80,8 @@
 	pins        []pinner.Pin
 }
 
+func (r *loadRecorder) ReceiveRejections([]dispatcher.Rejection) {}
+
 func (r *loadRecorder) ReceivePin(pin pinner.Pin) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relayer/brittle_test.go
+++ b/internal/relayer/brittle_test.go
@@ -74,7 +74,8 @@
 
 		return true
 	}
-	recent := append(b.rejections[id], time.Now())
+	recent := b.rejections[id]
+	recent = append(recent, time.Now())
 	for time.Since(recent[0]) > time.Second {
 		recent = recent[1:]
 	}
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -80,6 +80,11 @@
 	// it stated none. HasInvalidRateLimit is true if it stated one that cannot be read.
 	RateLimit           *RateLimit
 	HasInvalidRateLimit bool
+	// MaxRejections is the number of requests that the endpoint can reject in a second without
+	// failing, if it says that it is brittle; nil if not. HasInvalidMaxRejections is true if it
+	// stated one that cannot be read.
+	MaxRejections           *RateLimit
+	HasInvalidMaxRejections bool
 	// IsLeaving reports whether the endpoint says that it leaves.
 	IsLeaving bool
 	// Pause is how long the endpoint wants no requests from this instance; zero if not stated.
--- a/internal/relayer/fleet_test.go
+++ b/internal/relayer/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/relayer"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
 	"github.com/oleanderpick/oleanderpick/pkg/pinner"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
 )
 
@@ -51,7 +53,17 @@
 		}
 	}))
 	d.SetPinSource(g)
+	d.SetPermitSource(g)
 	d.OnPin(h.deliverPin)
+	datagrams := make(chan datagram, 4096)
+	go h.deliverDatagrams(name, datagrams)
+	d.OnLoadChange(func(endpoint string, load placer.Load) {
+		datagrams <- datagram{time.Now().Add(datagramDelay), func(peer *dispatcher.Dispatcher) { peer.ReceiveLoadUpdate(name, endpoint, load) }}
+	})
+	d.OnRejection(func(endpoint string) {
+		rejections := []dispatcher.Rejection{{EndpointID: endpoint, At: time.Now()}}
+		datagrams <- datagram{time.Now().Add(datagramDelay), func(peer *dispatcher.Dispatcher) { peer.ReceiveRejections(rejections) }}
+	})
 	h.mu.Lock()
 	h.dispatchers[name] = d
 	h.mu.Unlock()
@@ -70,6 +82,7 @@
 		cancel()
 		<-g.Done()
 		<-d.Done()
+		close(datagrams)
 		connections.Close()
 		peers.Close()
 	}
@@ -77,6 +90,30 @@
 	return i
 }
 
+// datagram is a message from one instance to all others.
+type datagram struct {
+	arrivesAt time.Time
+	receive   func(peer *dispatcher.Dispatcher)
+}
+
+// deliverDatagrams delivers an instance's datagrams in order until the channel is closed.
+func (h *harness) deliverDatagrams(from string, datagrams <-chan datagram) {
+	for sent := range datagrams {
+		time.Sleep(time.Until(sent.arrivesAt))
+		h.mu.Lock()
+		peers := maps.Clone(h.dispatchers)
+		h.mu.Unlock()
+		for name, d := range peers {
+			if name != from {
+				sent.receive(d)
+			}
+		}
+	}
+}
+
+// datagramDelay is the time that a datagram takes between two instances.
+const datagramDelay = 4 * time.Millisecond
+
 // deliverPin passes a pin to the named instances that run, as datagrams would.
 func (h *harness) deliverPin(pin pinner.Pin, holders []string) {
 	h.mu.Lock()
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -77,6 +77,11 @@
 	metadata := relayer.ResponseMetadata{
 		RequestID: header.Get("X-Id"), NotRun: header.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 	}
+	if text := header.Get("X-Brittle"); text != "" {
+		rate, err := strconv.ParseFloat(text, 64)
+		limit := relayer.RateLimit(rate)
+		metadata.MaxRejections, metadata.HasInvalidMaxRejections = &limit, err != nil
+	}
 	metadata.IsLeaving = header.Get("X-Leaving") != ""
 	metadata.Pause, _ = time.ParseDuration(header.Get("X-Pause"))
 	if text := header.Get("X-Limit"); text != "" {
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -20,6 +20,7 @@
 	a.endpointLoad, a.rateLimit = metadata.Load, metadata.RateLimit
 	if !metadata.Misdirected && metadata.RequestID == r.metadata.ID {
 		r.recordLimit(a, metadata)
+		r.recordMaxRejections(a, metadata)
 		r.recordAvailability(a, metadata)
 	}
 	switch {
@@ -34,6 +35,7 @@
 		r.failAttempt(ctx, a, errors.New("answer has a content encoding"))
 	case metadata.NotRun && a.response.StatusCode != http.StatusBadRequest:
 		a.result, a.failureCause = placer.Refused, errors.Errorf("refused with status %d", a.response.StatusCode)
+		r.relayer.dispatcher.RecordRejection(a.placement)
 		r.discardResponse(a)
 	case a.response.StatusCode == http.StatusOK && isEventStream(a.response.Header):
 		a.mayHaveRun = true
@@ -62,6 +64,20 @@
 	r.relayer.dispatcher.RecordLimit(a.placement, a.sentAt, limit)
 }
 
+// recordMaxRejections records whether an answer says that the endpoints of the service are
+// brittle. As with limits, only a served request shows that they are not any more.
+func (r *relayedRequest) recordMaxRejections(a *attempt, metadata ResponseMetadata) {
+	mayEnd := a.response.StatusCode/100 == 2 && r.relayer.dispatcher.HasBrittleEndpoints()
+	if metadata.HasInvalidMaxRejections || (metadata.MaxRejections == nil && !mayEnd) {
+		return
+	}
+	var limit throttler.Limit
+	if metadata.MaxRejections != nil {
+		limit = throttler.Limit{IsStated: true, Rate: float64(*metadata.MaxRejections)}
+	}
+	r.relayer.dispatcher.RecordMaxRejections(r.placementRequest.Service, a.sentAt, limit)
+}
+
 // recordAvailability records what an answer says of its endpoint's taking further requests. A
 // pause counts only with a refusal.
 func (r *relayedRequest) recordAvailability(a *attempt, metadata ResponseMetadata) {
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -299,6 +299,7 @@
 	loadNotifier := notifier.New(r.settings.Name, uint16(r.settings.LoadUpdatePort), conn, r.gossiper, r.dispatcher, r.counters, r.logger.Named("notifier"))
 	r.dispatcher.OnLoadChange(loadNotifier.QueueUpdate)
 	r.dispatcher.OnPin(loadNotifier.QueuePin)
+	r.dispatcher.OnRejection(loadNotifier.QueueRejection)
 	r.supervisor.Add(loadNotifier)
 
 	return nil
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -326,6 +326,16 @@
 	return p.endpoints[id] != nil
 }
 
+// Occupancy returns how many requests of all instances run at an endpoint, as far as is known,
+// and how many it can run at once.
+func (p *Placer) Occupancy(id string) (running, slots int) {
+	if e := p.endpoints[id]; e != nil {
+		return e.totalLoad().RunningRequests, e.slotsOrDefault()
+	}
+
+	return 0, 0
+}
+
 // LocalLoad returns this instance's load at one endpoint.
 func (p *Placer) LocalLoad(id string) Load {
 	if e := p.endpoints[id]; e != nil {
--- a/pkg/throttler/home.go
+++ b/pkg/throttler/home.go
@@ -39,9 +39,8 @@
 	// which the others notice and the permits of the previous home expire.
 	takeoverDelay = 2 * time.Second
 	// burstTime sets the permits that a home saves up for requests at the same time:
-	// those of this time, but at least minBurst.
+	// those of this time, but at least Settings.MinBurst.
 	burstTime = 250 * time.Millisecond
-	minBurst  = 2.0
 	// demandTimeConstant is the time constant with which demand is forgotten.
 	demandTimeConstant = time.Second
 	// highDemandRatio is the demand, as a multiple of the limit, above which denied
@@ -119,7 +118,7 @@
 
 // burst returns the most permits that a home saves up.
 func (r *record) burst() float64 {
-	return max(minBurst, r.rate()*burstTime.Seconds())
+	return max(r.minBurst, r.rate()*burstTime.Seconds())
 }
 
 // refill adds the permits for the time since the last refill and decays the demand.
--- a/pkg/throttler/statement.go
+++ b/pkg/throttler/statement.go
@@ -65,7 +65,7 @@
 func (t *Throttler) update(now time.Time, s Statement) {
 	r := t.records[s.Endpoint]
 	if r == nil {
-		r = &record{home: t.homeOf(s.Endpoint), homeSince: t.membersChangedAt, tokens: 1, refilledAt: now}
+		r = &record{home: t.homeOf(s.Endpoint), homeSince: t.membersChangedAt, tokens: 1, refilledAt: now, minBurst: t.settings.MinBurst}
 		t.records[s.Endpoint] = r
 	}
 	if r.limit != s.Limit {
--- a/pkg/throttler/throttler.go
+++ b/pkg/throttler/throttler.go
@@ -16,6 +16,21 @@
 	membersChangedAt time.Time
 	records          map[string]*record // by endpoint ID
 	statementOffset  int
+	settings         Settings
+}
+
+// Settings are how a throttler lends and uses permits.
+type Settings struct {
+	// MinBurst is the number of permits that a home saves up at least for requests at the same
+	// time.
+	MinBurst float64
+	// PermitLifetime is how long a borrowed permit may be used.
+	PermitLifetime time.Duration
+}
+
+// DefaultSettings returns the settings for limits that endpoints state.
+func DefaultSettings() Settings {
+	return Settings{MinBurst: 2, PermitLifetime: 300 * time.Millisecond}
 }
 
 // record is what an instance knows of one endpoint's limit.
@@ -30,6 +45,7 @@
 	// The permits that this instance lends, if it is the home.
 	tokens     float64
 	refilledAt time.Time
+	minBurst   float64
 	demand     [placer.TierCount]float64 // recent requests for permits by tier, which decay
 
 	// What this instance has borrowed.
@@ -41,8 +57,6 @@
 }
 
 const (
-	// permitLifetime is how long a borrowed permit may be used.
-	permitLifetime = 300 * time.Millisecond
 	// unansweredWait is how long an endpoint whose home does not answer is not used.
 	unansweredWait = 500 * time.Millisecond
 	// maxOpenRequests is the number of requests for permits of one endpoint that an instance
@@ -56,7 +70,15 @@
 // New returns the throttler of the named instance, which starts now and is the only live
 // one until SetMembers is called.
 func New(now time.Time, instanceName string) *Throttler {
-	return &Throttler{instanceName: instanceName, members: []string{instanceName}, membersChangedAt: now, records: map[string]*record{}}
+	return &Throttler{instanceName: instanceName, members: []string{instanceName}, membersChangedAt: now, records: map[string]*record{}, settings: DefaultSettings()}
+}
+
+// WithSettings returns the throttler with other settings. It must not have records yet.
+func (t *Throttler) WithSettings(settings Settings) *Throttler {
+	changed := *t
+	changed.settings = settings
+
+	return &changed
 }
 
 // SetMembers sets the names of the live instances that are not leaving, in sorted order.
@@ -78,6 +100,16 @@
 	return granter.HomeOf(endpoint, t.members)
 }
 
+// Home returns the instance that lends an endpoint's permits; empty if the endpoint never stated
+// a limit.
+func (t *Throttler) Home(endpoint string) string {
+	if r := t.records[endpoint]; r != nil {
+		return r.home
+	}
+
+	return ""
+}
+
 // Retain removes what is known of endpoints that are no longer registered.
 func (t *Throttler) Retain(isRegistered func(endpoint string) bool) {
 	for endpoint := range t.records {
@@ -172,7 +204,7 @@
 			r.permits = 0
 		}
 		r.permits += reply.Permits
-		r.permitsExpireAt = now.Add(permitLifetime)
+		r.permitsExpireAt = now.Add(t.settings.PermitLifetime)
 
 		return
 	}
