relayer, prober, protector: Probe less often, share less when nothing is brittle

Found by reading: each endpoint that was silent for a second started a round of three new connections at once; rounds are now 300 ms apart, but for the one that decides whether the instance is cut off. After a service had once been brittle, loads at plain endpoints were sent to peers for good; now only while it is. Requests for pins that are not needed any more are not logged as failed. One function builds the requests to endpoints and peers.

--- a/internal/dispatcher/brittle.go
+++ b/internal/dispatcher/brittle.go
@@ -19,8 +19,8 @@
 	d.onRejection = callback
 }
 
-// HasBrittleEndpoints reports whether the endpoints of any service have been brittle. It does not
-// wait for the control goroutine.
+// HasBrittleEndpoints reports whether the endpoints of any service are brittle. It does not wait
+// for the control goroutine.
 func (d *Dispatcher) HasBrittleEndpoints() bool {
 	return d.hasBrittle.Load()
 }
@@ -37,11 +37,12 @@
 
 // logBrittle logs that the endpoints of a service have become brittle or are not any more.
 func (d *Dispatcher) logBrittle(service, source string) {
-	d.hasBrittle.Store(d.protector.HasStatements())
+	d.hasBrittle.Store(d.protector.HasBrittle())
 	d.logger.Info("Brittleness of endpoints changed.", "service", service, "brittle", d.protector.IsBrittle(service), "source", source)
 }
 
-// BrittleServices returns what to tell a peer of services whose endpoints are or were brittle.
+// BrittleServices returns what to tell a peer of services whose endpoints are or were brittle;
+// nothing if none are now.
 func (d *Dispatcher) BrittleServices() (statements []throttler.Statement) {
 	if d.HasBrittleEndpoints() {
 		d.runAndWait(func() { statements = d.protector.Statements(d.clock.Now()) })
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -98,7 +98,7 @@
 	pauser              *pauser.Pauser
 	reaches             map[string]*serviceReach // by service
 	protector           *protector.Protector
-	hasBrittle          atomic.Bool // whether protector has statements
+	hasBrittle          atomic.Bool // whether endpoints of any service are brittle
 	onRejection         func(endpoint string)
 	pinner              *pinner.Pinner
 	pinSource           PinSource
--- a/internal/dispatcher/pin.go
+++ b/internal/dispatcher/pin.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/oleanderpick/oleanderpick/pkg/pinner"
 )
 
@@ -70,7 +72,7 @@
 	for _, holder := range holders {
 		go func() {
 			pin, ok, err := d.pinSource.RequestPin(ctx, holder, streamID)
-			if err != nil {
+			if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
 				d.logger.Info("Requested a pin in vain.", "holder", holder, "error", err)
 			}
 			replies <- reply{pin, ok}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -23,6 +23,7 @@
 
 // attempt is one sending of a request to an endpoint, or to a peer.
 type attempt struct {
+	// isPeer is true if the request goes to a peer. The placement is then the peer's address.
 	isPeer     bool
 	placement  dispatcher.Placement
 	connection *connector.Connection
@@ -366,11 +367,17 @@
 	if r.lastEventID > 0 {
 		forwarding.LastEventID = formatEventID(r.lastEventID)
 	}
+
+	return r.newRequest(ctx, r.relayer.codec.OutgoingHeader(r.incoming.Header, forwarding))
+}
+
+// newRequest returns a request with the caller's method, path and body.
+func (r *relayedRequest) newRequest(ctx context.Context, header http.Header) *http.Request {
 	request := &http.Request{
 		Method: r.incoming.Method,
 		URL:    &url.URL{Scheme: "http", Host: r.incoming.Host, Opaque: r.requestTarget()},
 		Host:   r.incoming.Host,
-		Header: r.relayer.codec.OutgoingHeader(r.incoming.Header, forwarding),
+		Header: header,
 		Body:   http.NoBody,
 	}
 	if len(r.body) > 0 {
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -36,8 +36,8 @@
 	return &crashChecker{dispatcher: dispatch, connections: connections, reach: reach, checks: map[string]*crashCheck{}}
 }
 
-// check starts a check of the placement's endpoint of a service, unless one is in progress, and returns
-// it. An endpoint that fell silent also counts as down if it does not answer at all.
+// check starts a check of the placement's endpoint of a service, unless one is in progress, and
+// returns it. An endpoint that fell silent also counts as down if it does not answer at all.
 func (c *crashChecker) check(service string, placement dispatcher.Placement, maxIdle int, wasSilent bool) *crashCheck {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -72,8 +72,8 @@
 	return c.dispatcher.IsCutOffFrom(service)
 }
 
-// reportUnreachable records that an endpoint of a service could not be connected to. If it refused the
-// connection, it is down, unless the instance turns out to be cut off.
+// reportUnreachable records that an endpoint of a service could not be connected to. If it refused
+// the connection, it is down, unless the instance turns out to be cut off.
 func (c *crashChecker) reportUnreachable(service string, placement dispatcher.Placement, refused bool) {
 	checked := c.reach.reportUnreachable(service, placement.EndpointID)
 	if !refused {
--- a/internal/relayer/peer.go
+++ b/internal/relayer/peer.go
@@ -1,11 +1,8 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -64,8 +61,8 @@
 )
 
 // shouldPassOn reports whether the request goes to a peer: this instance reaches no endpoint of
-// the service, or could not connect to those that it tried. A request that a peer has passed on is not passed
-// on again, so that it cannot go in circles.
+// the service, or could not connect to those that it tried. A request that a peer has passed on
+// is not passed on again, so that it cannot go in circles.
 func (r *relayedRequest) shouldPassOn() bool {
 	if r.isPassedOn || r.hasOfferedPeers {
 		return false
@@ -162,19 +159,8 @@
 	header := r.relayer.codec.PassedOnHeader(r.incoming.Header, metadata)
 	header.Set(relayedRunsHeader, strconv.Itoa(r.possibleRuns))
 	header.Set(configurationHeader, strconv.FormatUint(r.matcher.Number(), 10))
-	request := &http.Request{
-		Method: r.incoming.Method,
-		URL:    &url.URL{Scheme: "http", Host: r.incoming.Host, Opaque: r.requestTarget()},
-		Host:   r.incoming.Host,
-		Header: header,
-		Body:   http.NoBody,
-	}
-	if len(r.body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.body))
-		request.ContentLength = int64(len(r.body))
-	}
 
-	return request.WithContext(ctx)
+	return r.newRequest(ctx, header)
 }
 
 // IsPassedOn reports whether a peer passes the request on. Only requests that arrive at the
--- a/pkg/prober/prober.go
+++ b/pkg/prober/prober.go
@@ -11,7 +11,8 @@
 	// minFailedRounds is the number of rounds without success after which the instance
 	// counts as cut off.
 	minFailedRounds = 2
-	// roundInterval is the time between two rounds while the instance is cut off.
+	// roundInterval is the shortest time between two rounds, unless the first one failed and
+	// the second one decides whether the instance is cut off.
 	roundInterval = 300 * time.Millisecond
 )
 
@@ -65,7 +66,8 @@
 // round is in progress. Pass the result of the round to EndRound. Endpoints that have not
 // failed yet go first.
 func (p *Prober) StartRound(now time.Time, endpoints []string) []string {
-	if p.isProbing || !p.isSuspected || len(endpoints) == 0 || (p.IsCutOff() && now.Sub(p.lastRoundAt) < roundInterval) {
+	isSecondRound := p.failedRounds > 0 && !p.IsCutOff()
+	if p.isProbing || !p.isSuspected || len(endpoints) == 0 || (!isSecondRound && now.Sub(p.lastRoundAt) < roundInterval) {
 		return nil
 	}
 	p.isProbing, p.lastRoundAt = true, now
--- a/pkg/protector/protector.go
+++ b/pkg/protector/protector.go
@@ -116,9 +116,15 @@
 	return p.statements.Statements(now)
 }
 
-// HasStatements reports whether the endpoints of any service have been brittle.
-func (p *Protector) HasStatements() bool {
-	return p.statements.HasRecords()
+// HasBrittle reports whether the endpoints of any service are brittle.
+func (p *Protector) HasBrittle() bool {
+	for _, service := range p.services {
+		if p.IsBrittle(service) {
+			return true
+		}
+	}
+
+	return false
 }
 
 // IsBrittle reports whether the endpoints of a service are brittle.
