dispatcher: Wait for the other instances before a stream's version counts as unknown

It now waits for some within the time that a request for a pin may take, 200 ms instead of 150 ms. TestStreamIsTakenUpAtAnInstanceThatHasJustStarted failed before.

--- a/internal/dispatcher/pin.go
+++ b/internal/dispatcher/pin.go
@@ -9,8 +9,13 @@
 	"github.com/oleanderpick/oleanderpick/pkg/pinner"
 )
 
-// pinTimeout limits the wait for other instances' pins. An answer takes a round trip.
-const pinTimeout = 150 * time.Millisecond
+const (
+	// pinTimeout limits the wait for other instances' pins. An answer takes a round trip, and
+	// an instance that starts hears of the others within about 100 ms.
+	pinTimeout = 200 * time.Millisecond
+	// holdersPollInterval is the time between two looks whether other instances are known.
+	holdersPollInterval = 20 * time.Millisecond
+)
 
 // PinSource gets pins from other instances.
 type PinSource interface {
@@ -60,10 +65,9 @@
 	if ok || d.pinSource == nil {
 		return pin, ok
 	}
-	var holders []string
-	d.runAndWait(func() { holders = d.pinner.Holders(streamID) })
 	ctx, cancel := context.WithTimeout(ctx, pinTimeout)
 	defer cancel()
+	holders := d.awaitHolders(ctx, streamID)
 	type reply struct {
 		pin pinner.Pin
 		ok  bool
@@ -89,6 +93,22 @@
 	return pinner.Pin{}, false
 }
 
+// awaitHolders returns the other instances that may keep a stream's pin. An instance that has just
+// started knows none, so awaitHolders waits for some until ctx ends.
+func (d *Dispatcher) awaitHolders(ctx context.Context, streamID uint64) (holders []string) {
+	for {
+		d.runAndWait(func() { holders = d.pinner.Holders(streamID) })
+		if len(holders) > 0 {
+			return holders
+		}
+		select {
+		case <-time.After(holdersPollInterval):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // OnlyVersion returns the version of a service's software if it is the only one of which
 // endpoints are, or were shortly before, registered.
 func (d *Dispatcher) OnlyVersion(service string) (version string, ok bool) {
--- a/internal/relayer/version_test.go
+++ b/internal/relayer/version_test.go
@@ -140,6 +140,24 @@
 	})
 }
 
+// Guards against a stream that is refused at an instance that has just started and has not heard
+// of the instances that know its version.
+func TestStreamIsTakenUpAtAnInstanceThatHasJustStarted(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		h.serveVersions(0, "v1", "v2", "v1", "v2")
+		h.losesPins = true
+		first := h.startInstance(0)
+		defer first.stop()
+		time.Sleep(time.Second)
+		stream := &receivedStream{}
+		h.receive(stream, "front-0", "r", "", 3)
+		second := h.startInstance(1)
+		defer second.stop()
+		h.receive(stream, "front-1", "r-2", "r", versionedStreamLength)
+		assert.Assert(t, stream.isComplete() && len(stream.versions) == 1, "%+v", stream)
+	})
+}
+
 // Guards against streams that go on at a version that is not the one that began them when all
 // endpoints of that one are gone.
 func TestStreamEndsIfNoEndpointOfItsVersionIsLeft(t *testing.T) {
