relayer, retrier: Tell callers who leave from deadlines and broken answers

Now there is one reason, retries.caller-left, in log and metrics, followed by 'Caller disconnected.' with the time that was left. 'Answer was cut off.' is written only where this instance closes the connection.

Looked for elsewhere: a caller who left in the middle of a large answer counted against the endpoint, and a stream that could not be written to its caller took a repeat if the context had not ended yet; both are mended. serve's retrier gave budget or attempt reasons to callers who left.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -112,7 +112,11 @@
 	if err != nil {
 		a.result = placer.Failed
 		a.connection.Close()
-		if r.incoming.Context().Err() == nil && !a.isPeer {
+		if r.hasCallerLeft() {
+			a.result = placer.Canceled
+			r.finishAbandoned()
+		}
+		if !a.isPeer {
 			r.reportBrokenAnswer(a, false)
 		}
 		r.abortCallerConnection(errors.Wrap(err, "large answer was truncated"))
@@ -162,16 +166,28 @@
 	panic(http.ErrAbortHandler)
 }
 
+// hasCallerLeft reports whether nobody waits for the answer any more: the caller closed its
+// connection or does not read from it. A deadline that has passed is no sign of that.
+func (r *relayedRequest) hasCallerLeft() bool {
+	return r.isAbandoned || r.incoming.Context().Err() != nil
+}
+
+// finishAbandoned ends a request whose caller has left.
+func (r *relayedRequest) finishAbandoned() {
+	r.relayer.meter.CountError(answerer.KindCanceled)
+	r.relayer.logger.Info("Caller disconnected.", "request", r.metadata.ID, "route", r.route.Name, "may have run", r.mayHaveRun,
+		"after event", r.lastEventID, "left ms", time.Until(r.deadline).Milliseconds(), "ms", time.Since(r.receivedAt).Milliseconds())
+	panic(http.ErrAbortHandler)
+}
+
 // finishUnanswered ends a request that no endpoint answered completely: with a kept
 // failure of an endpoint, a refusal of the given kind or a closed connection.
 func (r *relayedRequest) finishUnanswered(ctx context.Context, kind answerer.Kind, retryAfter time.Duration) {
 	switch {
+	case r.hasCallerLeft():
+		r.finishAbandoned()
 	case r.answerStarted:
 		r.abortCallerConnection(errors.New(kind.String()))
-	case r.incoming.Context().Err() != nil:
-		r.relayer.meter.CountError(answerer.KindCanceled)
-		r.relayer.logger.Info("Caller disconnected.", "request", r.metadata.ID, "route", r.route.Name, "ms", time.Since(r.receivedAt).Milliseconds())
-		panic(http.ErrAbortHandler)
 	case r.endpointFailure != nil && ctx.Err() == nil:
 		r.forwardFailure(r.endpointFailure)
 	default:
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -181,6 +181,8 @@
 	}
 	reason := retrier.ReasonDeadline
 	switch {
+	case r.hasCallerLeft():
+		reason = retrier.ReasonCallerLeft
 	case errors.Is(a.failureCause, errStaleConfiguration) && !r.mayHaveRun:
 		reason = retrier.ReasonNotRetryable
 	case !r.canGoOn():
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -131,6 +131,7 @@
 	network       *piper.Network
 	dispatcher    *dispatcher.Dispatcher
 	relayer       *relayer.Relayer
+	meter         *meter.Meter
 	bootClock     func() time.Duration
 	wrapConn      func(net.Conn) net.Conn // wraps connections to endpoints; nil for none
 	suspendedTime time.Duration           // time that the machine was suspended; only the boot clock counts it
@@ -149,7 +150,7 @@
 func runWithHarness(t *testing.T, test func(*testing.T, *harness)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		h := &harness{t: t, network: piper.New(), dispatchers: map[string]*dispatcher.Dispatcher{}}
+		h := &harness{t: t, network: piper.New(), meter: meter.New(), dispatchers: map[string]*dispatcher.Dispatcher{}}
 		startTime := time.Now()
 		h.bootClock = func() time.Duration { return time.Since(startTime) + h.suspendedTime + time.Hour }
 		h.dispatcher = dispatcher.New(dispatcher.Settings{
@@ -157,7 +158,7 @@
 			RepeatLimits: retrier.RepeatLimiterSettings{Window: 10 * time.Second, RepeatRatio: 0.2, Burst: 50},
 		}, dispatcher.Clock{Now: time.Now, SinceBoot: func() time.Duration { return h.bootClock() }}, hclog.NewNullLogger())
 		connections := connector.New(connector.DefaultSettings(), h.dialEndpoint)
-		h.relayer = relayer.New(testCodec{}, h.dispatcher, connections, connector.New(connector.DefaultSettings(), h.network.Dial), meter.New(), hclog.NewNullLogger(), func() uint64 { return 0 })
+		h.relayer = relayer.New(testCodec{}, h.dispatcher, connections, connector.New(connector.DefaultSettings(), h.network.Dial), h.meter, hclog.NewNullLogger(), func() uint64 { return 0 })
 		h.network.Serve("front", h.relayer)
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _ = h.dispatcher.Serve(ctx) }()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -135,6 +135,7 @@
 	isOnTrial        bool // allowed to find out whether a block still crashes endpoints
 	isPassedOn       bool // a peer sent the request, which reaches no endpoint
 	hasOfferedPeers  bool // no peer took the request
+	isAbandoned      bool // the answer could not be written to the caller
 }
 
 // ServeHTTP relays one request to an endpoint and forwards the answer.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -79,6 +79,7 @@
 			r.writeAnswerHeader(a.response, -1)
 		}
 		if err := r.forwardEvent(event, flusher, events.HasBuffered()); err != nil {
+			r.isAbandoned = true
 			r.failAttempt(ctx, a, errors.Wrap(err, "caller disconnected"))
 			a.result = placer.Canceled
 
--- a/pkg/retrier/decision.go
+++ b/pkg/retrier/decision.go
@@ -37,6 +37,8 @@
 	ReasonMaxAttempts = "retries.tries"
 	// ReasonDeadline means that the deadline comes before the next attempt.
 	ReasonDeadline = "retries.deadline"
+	// ReasonCallerLeft means that nobody waits for the answer any more.
+	ReasonCallerLeft = "retries.caller-left"
 	// ReasonClassBudget means that the retry budget of the class is empty.
 	ReasonClassBudget = "retries.class-budget"
 	// ReasonEndpointBudget means that the retry budget of the failed endpoint
@@ -48,7 +50,7 @@
 func Reasons() []string {
 	return []string{
 		ReasonRetry, ReasonResume, ReasonNotRetryable, ReasonMayHaveRun, ReasonNotResumable,
-		ReasonMaxAttempts, ReasonDeadline, ReasonClassBudget, ReasonEndpointBudget,
+		ReasonMaxAttempts, ReasonDeadline, ReasonCallerLeft, ReasonClassBudget, ReasonEndpointBudget,
 	}
 }
 
--- a/pkg/retrier/retrier.go
+++ b/pkg/retrier/retrier.go
@@ -36,6 +36,9 @@
 // Decide returns what to do after a failed attempt. attempt is its number, from
 // 1; resumptions count as attempts.
 func (r *Retrier) Decide(now time.Time, class string, attempt int, failure Failure, deadline time.Time) Decision {
+	if failure.Kind == answerer.KindCanceled {
+		return stopDecision(ReasonCallerLeft, answerer.New(answerer.KindCanceled, "The caller left."))
+	}
 	policy := r.policyOf(class)
 	wait := r.randomBackoff(policy, attempt)
 	tooLate := !now.Add(wait).Before(deadline)
--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -51,6 +51,8 @@
 		{"resumable stream, proved not started", 1, retrier.Failure{Kind: refused, StartStatus: confirmedNotStarted, Resumable: true}, time.Minute, retrier.Retry, retrier.ReasonRetry, 0},
 		{"stream that cannot be resumed", 1, retrier.Failure{Kind: lost, PartlyDelivered: true, Idempotent: true}, time.Minute, retrier.Stop, retrier.ReasonNotResumable, answerer.KindTruncated},
 		{"resumable stream, last attempt", 3, retrier.Failure{Kind: lost, PartlyDelivered: true, Resumable: true}, time.Minute, retrier.Stop, retrier.ReasonMaxAttempts, answerer.KindTruncated},
+		{"caller left, idempotent", 1, retrier.Failure{Kind: answerer.KindCanceled, Idempotent: true}, time.Minute, retrier.Stop, retrier.ReasonCallerLeft, answerer.KindCanceled},
+		{"caller left a resumable stream", 1, retrier.Failure{Kind: answerer.KindCanceled, PartlyDelivered: true, Resumable: true}, 0, retrier.Stop, retrier.ReasonCallerLeft, answerer.KindCanceled},
 		{"resumable stream, partly delivered, past the deadline", 2, retrier.Failure{Kind: lost, PartlyDelivered: true, Resumable: true}, 0, retrier.Stop, retrier.ReasonDeadline, answerer.KindTruncated},
 	} {
 		decision := retrier.New(retrier.DefaultSettings(), newRandom()).Decide(startTime, "chat", test.attempt, test.failure, startTime.Add(test.timeLeft))
