relayer: Take no answer of a peer that does not know requests passed on

While instances are upgraded one after the other, one that is cut off could pass a request to a peer of the earlier version, whose 404 then reached the caller. Each answer to such a request now states whether it is final; one that does not is none, and the request goes to another peer. Found by reading. TestAnswerOfAPeerThatKnowsNoPassedOnRequestsIsNotForwarded failed before (404).

--- a/internal/relayer/partition_test.go
+++ b/internal/relayer/partition_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/internal/lab/piper"
 )
 
@@ -189,3 +190,21 @@
 		tally.served += served
 	}
 }
+
+// Guards against the answer of a peer of an earlier version, which does not know requests that are
+// passed on, reaching the caller.
+func TestAnswerOfAPeerThatKnowsNoPassedOnRequestsIsNotForwarded(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		h.partition = &partition{way: refuse, instances: []string{"i0"}, isActive: true}
+		h.serveVersions(0, "v1", "v1")
+		i := h.startInstance(0)
+		defer i.stop()
+		h.network.Serve("old", http.NotFoundHandler())
+		i.dispatcher.SetFleet(dispatcher.Fleet{InstanceCount: 2, PeerReaches: []dispatcher.PeerReach{{Address: "old:80"}}})
+		request := h.newRequest(http.MethodPost, "/once/x", "")
+		request.URL.Host, request.Host = "front-0", "front"
+		response, body, err := h.send(request)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, body)
+	})
+}
--- a/internal/relayer/peer.go
+++ b/internal/relayer/peer.go
@@ -21,10 +21,17 @@
 	relayedRunsHeader = "Oleanderpick-Runs"
 	// configurationHeader states the number of the configuration that the peer applied.
 	configurationHeader = "Oleanderpick-Configuration"
-	// elsewhereHeader marks the refusal of a request that another instance may serve.
+	// elsewhereHeader states in each answer to a request that was passed on whether another
+	// instance may serve the request. A peer that does not know such requests sets none.
 	elsewhereHeader = "Oleanderpick-Elsewhere"
 )
 
+// Values of elsewhereHeader.
+const (
+	isFinal      = "0"
+	tryElsewhere = "1"
+)
+
 const (
 	// maxPeerAttempts is the number of peers that a request is offered to.
 	maxPeerAttempts = 3
@@ -122,12 +129,13 @@
 		return
 	}
 	a.response = response
-	if response.Header.Get(elsewhereHeader) != "" {
+	if response.Header.Get(elsewhereHeader) != isFinal {
 		a.failureCause = errElsewhere
 		r.discardResponse(a)
 
 		return
 	}
+	response.Header.Del(elsewhereHeader)
 	a.mayHaveRun = true
 	switch {
 	case response.StatusCode == http.StatusOK && isEventStream(response.Header):
@@ -181,6 +189,7 @@
 	}
 	incoming.Header.Del(relayedRunsHeader)
 	incoming.Header.Del(configurationHeader)
+	w.Header().Set(elsewhereHeader, isFinal)
 	r.serve(w, incoming, passedOnState{isPassedOn: true, possibleRuns: runs, configurationNumber: number})
 }
 
@@ -214,6 +223,6 @@
 		return
 	}
 	if r.isPassedOn && r.possibleRuns == 0 {
-		r.w.Header().Set(elsewhereHeader, "1")
+		r.w.Header().Set(elsewhereHeader, tryElsewhere)
 	}
 }
