dispatcher: Count endpoints as brittle that are registered after the statement

An instance that starts hears from a peer that a service is brittle before it has read the service's endpoints. Found by reading.

Tests for faults that none would have caught: endpoints that cannot be reached must not count as crashed (fails with that check taken out), and a peer must refuse by its configuration and the runs of a request that is passed on.

--- a/internal/dispatcher/pin.go
+++ b/internal/dispatcher/pin.go
@@ -11,7 +11,7 @@
 
 const (
 	// pinTimeout limits the wait for other instances' pins. An answer takes a round trip, and
-	// an instance that starts hears of the others within about 100 ms.
+	// an instance that starts learns of the others within about 100 ms.
 	pinTimeout = 200 * time.Millisecond
 	// holdersPollInterval is the time between two looks whether other instances are known.
 	holdersPollInterval = 20 * time.Millisecond
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -128,6 +128,7 @@
 	d.throttler.Retain(d.placer.HasEndpoint)
 	d.pauser.Retain(d.placer.HasEndpoint)
 	d.protector.SetEndpoints(d.clock.Now(), d.registry.Endpoints())
+	d.hasBrittle.Store(d.protector.HasBrittle())
 	d.hasLimits.Store(d.throttler.HasRecords())
 	d.publishReach()
 }
--- a/internal/relayer/partition_test.go
+++ b/internal/relayer/partition_test.go
@@ -144,6 +144,9 @@
 					time.Sleep(50 * time.Millisecond)
 				}
 				callers.Wait()
+				for _, i := range instances {
+					assert.Assert(t, !i.dispatcher.HasSuspects(), "endpoints that cannot be reached count as crashed")
+				}
 				h.partition.setActive(false)
 				tally.check(t)
 			})
@@ -208,3 +211,30 @@
 		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, body)
 	})
 }
+
+// Guards against a peer that serves a passed-on request by an older configuration, or that promises
+// that a request has not run which may have run before it was passed on.
+func TestPeerKnowsConfigurationAndRunsOfPassedOnRequest(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		i := h.startInstance(0) // It knows configuration 1 and no endpoint.
+		defer i.stop()
+		for _, test := range []struct {
+			runs, configuration string
+			status              int
+			elsewhere           string
+		}{
+			{"0", "2", http.StatusServiceUnavailable, "1"},
+			{"0", "1", http.StatusServiceUnavailable, "0"},
+			{"1", "1", http.StatusBadGateway, "0"},
+		} {
+			request := h.newRequest(http.MethodPost, "/often/x", "")
+			request.URL.Host, request.Host = "i0", "front"
+			request.Header.Set("Oleanderpick-Runs", test.runs)
+			request.Header.Set("Oleanderpick-Configuration", test.configuration)
+			response, _, err := h.send(request)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, test.status, "%+v", test)
+			assert.Equal(t, response.Header.Get("Oleanderpick-Elsewhere"), test.elsewhere, "%+v", test)
+		}
+	})
+}
--- a/internal/relayer/version_test.go
+++ b/internal/relayer/version_test.go
@@ -140,8 +140,8 @@
 	})
 }
 
-// Guards against a stream that is refused at an instance that has just started and has not heard
-// of the instances that know its version.
+// Guards against a stream that is refused at an instance that has just started and does not
+// know the instances that keep its pin yet.
 func TestStreamIsTakenUpAtAnInstanceThatHasJustStarted(t *testing.T) {
 	runWithHarness(t, func(t *testing.T, h *harness) {
 		h.serveVersions(0, "v1", "v2", "v1", "v2")
--- a/pkg/protector/protector.go
+++ b/pkg/protector/protector.go
@@ -14,7 +14,7 @@
 	// permitShare is the number of permits lent for each rejection that an endpoint bears.
 	permitShare = 0.5
 	// rejectionMemory is how long after a rejection all requests to the endpoint need permits:
-	// until the other instances have heard of it.
+	// until the news of it has reached the other instances.
 	rejectionMemory = 150 * time.Millisecond
 	// grantMemory is how long after a home has lent a permit the request may be missing from the
 	// load that the home knows.
@@ -22,7 +22,7 @@
 	// maxWait is how long an instance that got no permit waits for the next one at most. Room
 	// may come with the end of any request.
 	maxWait = 60 * time.Millisecond
-	// sharingTime is how long peers are told of a rejection.
+	// sharingTime is how long messages to peers contain a rejection.
 	sharingTime = time.Second
 	// maxShare is the share of an endpoint's slots up to which requests need no permit.
 	maxShare = 0.85
@@ -43,7 +43,7 @@
 
 // Protector is what one instance knows of brittle endpoints.
 type Protector struct {
-	// statements are those of services: each endpoint speaks for all of its service.
+	// statements are those of services: one of any endpoint counts for its whole service.
 	statements   *throttler.Throttler
 	permits      *throttler.Throttler
 	instanceName string
