tester: Run the tests from one command that leaves out and prints known failures

TestPlannedStopClosesTheListenerBeforeItCutsRequestsOff failed once on a busy machine (EOF where the whole answer was due). Hypotheses: the test's clock (500 ms of real time between the closed listener and the cut), or a request in flight that a stop cuts on a busy machine. Runs on the old test: 18 of 18 pass beside 12 busy processes and 8 at once of 8 beside 60; stopped by SIGSTOP from 3.35 to 4.45 s it fails 3 times of 3 with the same line and text. So it is the clock: a process that does not run during that window neither closes nor answers, whatever it decides.

--- a/internal/lab/piper/piper.go
+++ b/internal/lab/piper/piper.go
@@ -41,16 +41,29 @@
 	isSilent  bool // guarded by the network's mutex
 }
 
-// Serve serves an HTTP handler under a name until Stop or Close.
-func (n *Network) Serve(name string, handler http.Handler) {
+// Listen returns a listener for connections to a name. Dials to the name return ErrRefused
+// once it is closed.
+func (n *Network) Listen(name string) net.Listener {
+	return n.add(name, nil)
+}
+
+// add adds a server under a name.
+func (n *Network) add(name string, handler http.Handler) *server {
 	s := &server{
 		http:    &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute},
 		pending: make(chan net.Conn),
 		closed:  make(chan struct{}),
 	}
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.servers[name] = s
-	n.mu.Unlock()
+
+	return s
+}
+
+// Serve serves an HTTP handler under a name until Stop or Close.
+func (n *Network) Serve(name string, handler http.Handler) {
+	s := n.add(name, handler)
 	go func() {
 		_ = s.http.Serve(s) // Serve always returns an error, also after a regular close.
 	}()
@@ -59,10 +72,7 @@
 // ServeConn passes each connection to a name to a function, for servers that don't
 // speak HTTP or that violate it.
 func (n *Network) ServeConn(name string, handle func(net.Conn)) {
-	s := &server{http: &http.Server{ReadHeaderTimeout: time.Minute}, pending: make(chan net.Conn), closed: make(chan struct{})}
-	n.mu.Lock()
-	n.servers[name] = s
-	n.mu.Unlock()
+	s := n.add(name, nil)
 	go func() {
 		for {
 			conn, err := s.Accept()
--- a/internal/labcommands/labcommands.go
+++ b/internal/labcommands/labcommands.go
@@ -38,6 +38,8 @@
   engine     stand-in for a model engine
   service    stand-in for a plain service
   capacity   one node's control parts at parts of the plan's size; prints slopes
+  test       the tests of this repository without the known failures, which
+             are printed
 `
 
 // errRunFailed is returned by a command after it has printed a report with a failed
@@ -72,6 +74,7 @@
 		"engine":   (*Commands).engine,
 		"service":  (*Commands).service,
 		"capacity": (*Commands).capacity,
+		"test":     (*Commands).test,
 	}
 }
 
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -69,6 +69,7 @@
 // Runner is one relaying instance.
 type Runner struct {
 	settings            configurer.RelaySettings
+	host                Host
 	logger              hclog.Logger
 	dispatcher          *dispatcher.Dispatcher
 	relayer             *relayer.Relayer
@@ -97,17 +98,51 @@
 	callers, status, peers string
 }
 
+// Host is what an instance uses of the machine that it runs on.
+type Host struct {
+	// Listen opens a listener for TCP connections.
+	Listen func(ctx context.Context, address string) (net.Listener, error)
+	// Dial connects to the platform and to peers, and DialEndpoint to endpoints.
+	Dial, DialEndpoint connector.DialFunc
+	// SinceBoot reads a clock that also counts suspended time.
+	SinceBoot func() time.Duration
+}
+
+// NewHost returns the machine's network and clock.
+func NewHost() Host {
+	return Host{
+		Listen: func(ctx context.Context, address string) (net.Listener, error) {
+			var config net.ListenConfig
+
+			return config.Listen(ctx, "tcp", address)
+		},
+		Dial:         (&net.Dialer{}).DialContext,
+		DialEndpoint: connector.NewDialFunc(connector.DefaultSettings()),
+		SinceBoot:    clock.SinceBoot,
+	}
+}
+
+// dialWithin returns the host's Dial with a timeout.
+func (h Host) dialWithin(timeout time.Duration) connector.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+
+		return h.Dial(ctx, network, address)
+	}
+}
+
 // New returns an instance that is ready to run. Run starts it.
-func New(settings configurer.RelaySettings, platform Platform, logger hclog.Logger) *Runner {
+func New(settings configurer.RelaySettings, platform Platform, host Host, logger hclog.Logger) *Runner {
 	limitMemory(settings.MemoryLimitMB)
 	counters := meter.New()
-	r := &Runner{settings: settings, logger: logger.Named("runner"), listening: make(chan struct{}), done: make(chan struct{})}
+	r := &Runner{settings: settings, host: host, logger: logger.Named("runner"), listening: make(chan struct{}), done: make(chan struct{})}
 	r.stopTimeoutNs.Store(int64(settings.StopTimeout))
-	r.dispatcher = dispatcher.New(dispatcherSettings(settings), dispatcher.Clock{Now: time.Now, SinceBoot: clock.SinceBoot}, logger.Named("dispatcher"))
-	r.endpointConnections = connector.New(connector.DefaultSettings(), connector.NewDialFunc(connector.DefaultSettings()))
-	r.peerConnections = connector.New(connector.DefaultSettings(), connector.NewDialFunc(connector.DefaultSettings()))
+	r.dispatcher = dispatcher.New(dispatcherSettings(settings), dispatcher.Clock{Now: time.Now, SinceBoot: host.SinceBoot}, logger.Named("dispatcher"))
+	r.endpointConnections = connector.New(connector.DefaultSettings(), host.DialEndpoint)
+	r.peerConnections = connector.New(connector.DefaultSettings(), host.DialEndpoint)
 	r.relayer = relayer.New(platform.Codec, r.dispatcher, r.endpointConnections, r.peerConnections, counters, logger.Named("relayer"), rand.Uint64)
-	store := storer.New(settings.PlatformURL, &http.Client{Transport: newStoreTransport()}).
+	store := storer.New(settings.PlatformURL, &http.Client{Transport: newStoreTransport(host)}).
 		WithTimeout(storeTimeout).WithDialect(platform.Dialect)
 	platformWatcher := watcher.New(watcher.DefaultReadPolicy(), store, platform.Decoder, r.dispatcher, logger.Named("watcher"))
 	r.counters = counters
@@ -150,18 +185,18 @@
 	client := &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     peerIdleTimeout,
-		DialContext:         (&net.Dialer{Timeout: settings.ExchangeTimeout}).DialContext,
+		DialContext:         r.host.dialWithin(settings.ExchangeTimeout),
 	}}
 
 	return gossiper.New(settings, r.dispatcher, decoder, client, counters, logger)
 }
 
 // newStoreTransport returns the HTTP transport for calls of the platform's object API.
-func newStoreTransport() *http.Transport {
+func newStoreTransport(host Host) *http.Transport {
 	return &http.Transport{
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
-		DialContext:         (&net.Dialer{Timeout: storeTimeout}).DialContext,
+		DialContext:         host.dialWithin(storeTimeout),
 	}
 }
 
@@ -262,8 +297,7 @@
 		addressesByServer[r.metricsServer] = r.settings.MetricsListen
 	}
 	for server, address := range addressesByServer {
-		var config net.ListenConfig
-		listener, err := config.Listen(context.Background(), "tcp", address)
+		listener, err := r.host.Listen(context.Background(), address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", address)
 		}
