--- a/internal/configurer/relay.go
+++ b/internal/configurer/relay.go
@@ -46,6 +46,9 @@
 	RepeatWindow             time.Duration
 	// StopTimeout is the longest time that a planned stop may take.
 	StopTimeout time.Duration
+	// FirstStart is true when the whole system starts for the first time, so that there were
+	// no streams before.
+	FirstStart bool
 }
 
 // Defaults of the settings of `relay`.
@@ -92,6 +95,7 @@
 	set.Float64Var(&s.RepeatBurst, "retry-burst", defaultRepeatBurst, "`repeats` allowed beside, over all instances")
 	set.DurationVar(&s.RepeatWindow, "retry-window", defaultRepeatWindow, "`time` over which repeats are counted")
 	set.DurationVar(&s.StopTimeout, "stop-limit", defaultRelayStopTimeout, "longest `time` that a planned stop may take")
+	set.BoolVar(&s.FirstStart, "first-start", false, "the whole system starts for the first time")
 
 	return set
 }
