gossiper, spreader: Spend less on messages in large fleets

Counted at rest (TestInstanceAtRestCostsTheSameInAnyFleet, failed before): 24 instances 16 KB/s each, 90 instances 43 KB/s. Peers of other data centres were reached about as often as they count as live, so nearly every reply listed all members; every second message there carried a summary of a data centre's loads; a start contacted all peers in ten rounds. Change: messages name up to 32 instances that the sender heard last; members only go to peers that know an eighth fewer; a summary is sent on request when the last is half a second old; other data centres in every second round; in each round the parent in a tree of the data centre; a start contacts peers not heard of yet. Reads of the configuration and the registry follow the site's limits for changes, which are settings now.

--- a/internal/configurer/relay.go
+++ b/internal/configurer/relay.go
@@ -46,6 +46,10 @@
 	RepeatWindow             time.Duration
 	// StopTimeout is the longest time that a planned stop may take.
 	StopTimeout time.Duration
+	// ChangeLimit is the longest time in which a change of the configuration takes effect, and
+	// DrainLimit that in which an endpoint that leaves gets no more requests. Shorter ones cost
+	// more messages and reads from the platform.
+	ChangeLimit, DrainLimit time.Duration
 	// FirstStart is true when the whole system starts for the first time, so that there were
 	// no streams before.
 	FirstStart bool
@@ -59,6 +63,9 @@
 	defaultRepeatBurst          = 10
 	defaultRepeatWindow         = 10 * time.Second
 	defaultRelayStopTimeout     = 30 * time.Second
+	defaultChangeLimit          = 2 * time.Second
+	minChangeLimit              = 500 * time.Millisecond
+	maxChangeLimit              = 10 * time.Minute
 )
 
 // ParseRelaySettings reads the settings of `relay` from arguments and the
@@ -95,6 +102,8 @@
 	set.Float64Var(&s.RepeatBurst, "retry-burst", defaultRepeatBurst, "`repeats` allowed beside, over all instances")
 	set.DurationVar(&s.RepeatWindow, "retry-window", defaultRepeatWindow, "`time` over which repeats are counted")
 	set.DurationVar(&s.StopTimeout, "stop-limit", defaultRelayStopTimeout, "longest `time` that a planned stop may take")
+	set.DurationVar(&s.ChangeLimit, "change-limit", defaultChangeLimit, "longest `time` in which a change of the configuration takes effect")
+	set.DurationVar(&s.DrainLimit, "drain-limit", defaultChangeLimit, "longest `time` in which an endpoint that leaves gets no more requests")
 	set.BoolVar(&s.FirstStart, "first-start", false, "the whole system starts for the first time")
 
 	return set
@@ -155,6 +164,10 @@
 		return flagger.InvalidValueError("retry-window", s.RepeatWindow, "a time over 0s")
 	case s.StopTimeout <= 0:
 		return flagger.InvalidValueError("stop-limit", s.StopTimeout, "a time over 0s")
+	case s.ChangeLimit < minChangeLimit || s.ChangeLimit > maxChangeLimit:
+		return flagger.InvalidValueError("change-limit", s.ChangeLimit, "500ms to 10m")
+	case s.DrainLimit < minChangeLimit || s.DrainLimit > maxChangeLimit:
+		return flagger.InvalidValueError("drain-limit", s.DrainLimit, "500ms to 10m")
 	}
 
 	return nil
--- /dev/null
+++ b/internal/gossiper/cost_test.go
@@ -0,0 +1,64 @@
+package gossiper_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderpick/oleanderpick/internal/lab/piper"
+)
+
+// restCost is what an instance of a fleet at rest spends on messages in a second.
+type restCost struct {
+	exchanges, bytes float64
+}
+
+// measureRest returns the cost of a fleet at rest, once all instances know each other.
+func measureRest(t *testing.T, size int) (cost restCost) {
+	t.Helper()
+	const settled, measured = 8 * time.Second, 4 * time.Second
+	var exchanges atomic.Int64
+	runFleet(t, size, func(t *testing.T, network *piper.Network, instances []testInstance, _ func() time.Duration) {
+		for n, i := range instances {
+			handler := i.gossiper.Handler()
+			network.Stop(instanceName(n))
+			network.Serve(instanceName(n), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				exchanges.Add(1)
+				handler.ServeHTTP(w, r)
+			}))
+		}
+		time.Sleep(settled)
+		exchanges.Store(0)
+		bytesBefore := network.BytesSent()
+		time.Sleep(measured)
+		perInstance := float64(size) * measured.Seconds()
+		cost = restCost{float64(exchanges.Load()) / perInstance, float64(network.BytesSent()-bytesBefore) / perInstance}
+		names := make([]string, 0, size)
+		for n := range instances {
+			names = append(names, instanceName(n))
+		}
+		for n, i := range instances {
+			rank := 0
+			for _, name := range names {
+				if name < instanceName(n) {
+					rank++
+				}
+			}
+			assert.Equal(t, i.dispatcher.Rank(), rank, "all instances of %d are known", size)
+		}
+	})
+
+	return cost
+}
+
+// Guards against a fleet that costs more to coordinate than to serve: an instance among many
+// spends at most 1.5 times what one of 24 does, and still knows all of them.
+func TestInstanceAtRestCostsTheSameInAnyFleet(t *testing.T) {
+	small, large := measureRest(t, 24), measureRest(t, 90)
+	t.Logf("24 instances: %+v, 90: %+v", small, large)
+	assert.Assert(t, large.exchanges <= 1.5*small.exchanges, "%+v, %+v", small, large)
+	assert.Assert(t, large.bytes <= 1.5*small.bytes, "%+v, %+v", small, large)
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -34,8 +34,9 @@
 	Incarnation uint64
 	// Seeds are addresses of some peers. They may be out of date.
 	Seeds []string
-	// RoundInterval is the time between the starts of two rounds.
-	RoundInterval time.Duration
+	// RoundInterval is the time between the starts of two rounds, and DividedRoundInterval that
+	// in a fleet that is divided by data centre.
+	RoundInterval, DividedRoundInterval time.Duration
 	// Fanout limits the number of peers contacted in a round.
 	Fanout spreader.Fanout
 	// ExchangeTimeout limits the duration of one exchange, including a fetch after it.
@@ -46,7 +47,7 @@
 // seeds. The round interval keeps the peer loads in a small fleet younger than the
 // usual time to the first token of an answer.
 func DefaultSettings() Settings {
-	return Settings{RoundInterval: 100 * time.Millisecond, Fanout: spreader.Fanout{Min: 2, Max: 4}, ExchangeTimeout: 300 * time.Millisecond}
+	return Settings{RoundInterval: 100 * time.Millisecond, DividedRoundInterval: 100 * time.Millisecond, Fanout: spreader.Fanout{Min: 2, Max: 3}, ExchangeTimeout: 300 * time.Millisecond}
 }
 
 const (
@@ -70,10 +71,14 @@
 	// silentRetryInterval is the time between attempts to reach a peer that is
 	// not live.
 	silentRetryInterval = time.Second
-	// startupRounds is the number of rounds after the start that ignore the fanout
-	// and contact all due peers, so that a new instance learns of the whole fleet
-	// at once.
-	startupRounds = 10
+	// startupRounds is the number of rounds after the start in which a new instance learns of
+	// the whole fleet: in a small fleet they ignore the fanout and contact all due peers, in a
+	// divided one each contacts up to maxStartupContacts new ones beside it.
+	startupRounds      = 10
+	maxStartupContacts = 24
+	// missingMemberDivisor is the part of the live instances that a peer may lack before it is
+	// told their addresses: one in so many.
+	missingMemberDivisor = 8
 )
 
 // Gossiper exchanges messages with the peers of one instance and passes their
@@ -89,8 +94,11 @@
 	done       chan struct{}
 
 	mu         sync.Mutex
-	peers      map[string]*peer // by address
-	leaving    bool             // sent in messages: this instance is about to stop
+	peers      map[string]*peer     // by address
+	byHash     map[uint64]*peer     // by the hash of the address in messages
+	summaryAt  map[string]time.Time // when the summary of a data centre's loads came or was asked for
+	heard      []uint64             // what messages say of other instances, built once a round
+	leaving    bool                 // sent in messages: this instance is about to stop
 	roundCount int
 }
 
@@ -103,12 +111,13 @@
 	incarnation   uint64
 	leaving       bool
 	cutOffFrom    []string  // services of which it says that it reaches no endpoint
-	lastMessageAt time.Time // when its last message arrived
+	lastMessageAt time.Time // when its last message arrived, here or at a peer that said so
+	receivedAt    time.Time // when its last message arrived here
 	lastAttemptAt time.Time // when this instance last started an exchange with it
 	addedAt       time.Time
 	exchanging    bool // an exchange that this instance started with it is in progress
-	exchangeCount int  // exchanges that this instance has started with it
-	sendLoads     bool // the exchange in progress carries this instance's loads
+	carriesLoads  bool // the reply to the exchange in progress carries loads
+	sharesEngines bool // and so does the message
 }
 
 // isLocal reports whether the peer is known to be in this instance's data centre.
@@ -128,6 +137,8 @@
 		logger:     logger,
 		done:       make(chan struct{}),
 		peers:      map[string]*peer{},
+		byHash:     map[uint64]*peer{},
+		summaryAt:  map[string]time.Time{},
 	}
 	g.handler = gossipwire.NewGossipServer(&gossipServer{gossiper: g})
 	g.AddAddresses(settings.Seeds)
@@ -159,7 +170,8 @@
 		if address == "" || address == g.settings.Address || g.peers[address] != nil || len(g.peers) >= maxPeers {
 			continue
 		}
-		g.peers[address] = &peer{address: address, addedAt: time.Now()}
+		added := &peer{address: address, addedAt: time.Now()}
+		g.peers[address], g.byHash[hashAddress(address)] = added, added
 	}
 }
 
@@ -184,11 +196,24 @@
 			for _, selected := range g.selectPeers(now) {
 				go g.exchangeWith(ctx, selected)
 			}
+			g.updateHeard(now)
 			g.dispatcher.SetFleet(g.describeFleet(now))
+			ticker.Reset(g.roundInterval(now))
 		}
 	}
 }
 
+// roundInterval returns the time until the next round.
+func (g *Gossiper) roundInterval(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.roundCount > startupRounds && g.fleet(now).IsDivided() {
+		return g.settings.DividedRoundInterval
+	}
+
+	return g.settings.RoundInterval
+}
+
 // describeFleet returns the number of instances, including this one, the number of
 // those that come before it by name, are not leaving and sent a message within
 // their rankTimeout, whether the fleet is divided, its members, and which services
@@ -222,12 +247,17 @@
 // memberTimeout returns the time since a peer's last message within which the peer counts
 // as a member: some exchanges in a fleet of this size, however long these take.
 func (g *Gossiper) memberTimeout(fleet spreader.Fleet, p *peer) time.Duration {
-	return max(minRankTimeout, maxMissedExchanges*g.exchangeInterval(fleet, p))
+	timeout := max(minRankTimeout, maxMissedExchanges*g.exchangeInterval(fleet, p))
+	if fleet.IsDivided() {
+		return min(livenessTimeout, timeout) // Others say that the peer lives.
+	}
+
+	return timeout
 }
 
 // exchangeInterval returns the usual time between two exchanges with a peer.
 func (g *Gossiper) exchangeInterval(fleet spreader.Fleet, p *peer) time.Duration {
-	return time.Duration(fleet.RoundsBetweenExchanges(g.settings.Fanout, g.isLocal(p))) * g.settings.RoundInterval
+	return time.Duration(fleet.RoundsBetweenExchanges(g.settings.Fanout, g.isLocal(p))) * g.settings.DividedRoundInterval
 }
 
 // rankTimeout returns the time since a peer's last message within which the peer counts in
@@ -242,7 +272,7 @@
 	ctx, cancel := context.WithTimeout(ctx, g.settings.ExchangeTimeout)
 	defer cancel()
 	sentSinceBoot, sentAt := g.dispatcher.SinceBoot(), time.Now()
-	reply, err := gossipwire.NewGossipProtobufClient("http://"+p.address, g.client).Exchange(ctx, g.buildMessage(p.address, 0, p.sendLoads))
+	reply, err := gossipwire.NewGossipProtobufClient("http://"+p.address, g.client).Exchange(ctx, g.buildRequest(p))
 	g.mu.Lock()
 	p.exchanging = false
 	g.mu.Unlock()
@@ -263,10 +293,17 @@
 // receiveMessage processes a peer's message. It reports false, and uses only the
 // sender's address, if recordSender reports false.
 func (g *Gossiper) receiveMessage(message *gossipwire.Message) bool {
-	if !g.recordSender(time.Now(), message) {
+	now := time.Now()
+	if !g.recordSender(now, message) {
 		return false
 	}
 	g.AddAddresses(message.GetMembers())
+	g.recordHeard(now, message.GetHeard())
+	if message.GetSummary() && !message.GetBrief() {
+		g.mu.Lock()
+		g.summaryAt[message.GetDataCentre()] = now
+		g.mu.Unlock()
+	}
 	g.dispatcher.ReceiveMessage(message.GetName(), decodeMessage(message))
 
 	return true
@@ -285,14 +322,14 @@
 	}
 	// A lower incarnation is accepted after incarnationTimeout, because the machine's time
 	// of day, which the incarnation comes from, may go back between two starts.
-	if message.GetIncarnation() < p.incarnation && now.Sub(p.lastMessageAt) < incarnationTimeout {
+	if message.GetIncarnation() < p.incarnation && now.Sub(p.receivedAt) < incarnationTimeout {
 		return false
 	}
 	if p.incarnation != message.GetIncarnation() || p.leaving != message.GetLeaving() {
 		g.logger.Info("Peer was discovered or changed.", "peer", message.GetName(), "address", p.address,
 			"data centre", message.GetDataCentre(), "incarnation", message.GetIncarnation(), "leaving", message.GetLeaving())
 	}
-	p.name, p.dataCentre, p.lastMessageAt = message.GetName(), message.GetDataCentre(), now
+	p.name, p.dataCentre, p.lastMessageAt, p.receivedAt = message.GetName(), message.GetDataCentre(), now, now
 	p.incarnation, p.leaving, p.cutOffFrom = message.GetIncarnation(), message.GetLeaving(), message.GetCutOff()
 
 	return true
@@ -304,10 +341,10 @@
 }
 
 // Exchange processes a peer's message and returns this instance's message. It holds
-// loads if the peer's does.
+// loads if the peer's does or asks for them.
 func (s *gossipServer) Exchange(_ context.Context, message *gossipwire.Message) (*gossipwire.Message, error) {
 	s.gossiper.receiveMessage(message)
-	reply := s.gossiper.buildMessage(message.GetAddress(), int(message.GetKnown()), !message.GetBrief())
+	reply := s.gossiper.buildMessage(message.GetAddress(), int(message.GetKnown()), !message.GetBrief() || message.GetWantsLoads())
 	reply.Limits = encodeLimits(time.Now(), s.gossiper.dispatcher.Limits())
 	reply.Brittle = encodeLimits(time.Now(), s.gossiper.dispatcher.BrittleServices())
 
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -11,6 +11,17 @@
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 )
 
+// buildRequest returns the message that begins an exchange.
+func (g *Gossiper) buildRequest(p *peer) *gossipwire.Message {
+	message := g.buildMessage(p.address, allKnown, p.sharesEngines)
+	message.WantsLoads = p.carriesLoads
+
+	return message
+}
+
+// allKnown is the number of addresses known to the recipient of a message that lists none.
+const allKnown = maxPeers
+
 // buildMessage returns this instance's message to the peer at an address that knows the
 // given number of live addresses. It lists the live peers' addresses if the recipient
 // knows fewer, and loads if includeLoads is set: this instance's, or those of its data
@@ -19,7 +30,7 @@
 	now := time.Now()
 	addresses := g.Addresses()
 	g.mu.Lock()
-	leaving := g.leaving
+	leaving, heard := g.leaving, g.heard
 	p := g.peers[recipient]
 	sharesEngines := g.fleet(now).SharesEngines(p != nil && g.isLocal(p))
 	g.mu.Unlock()
@@ -42,6 +53,7 @@
 		Brief:       !includeLoads,
 		DataCentre:  g.settings.DataCentre,
 		Summary:     !sharesEngines,
+		Heard:       heard,
 
 		Number:         state.Versions.ConfigurationNumber,
 		AgeMs:          toMilliseconds(state.Versions.ConfigurationAge),
@@ -49,7 +61,7 @@
 		EndpointsAgeMs: toMilliseconds(state.Versions.EndpointsAge),
 		EndpointsEpoch: state.Versions.EndpointsEpoch,
 	}
-	if recipientAddressCount < len(addresses) {
+	if isMissingMembers(recipientAddressCount, len(addresses)) {
 		message.Members = addresses
 	}
 	if includeLoads {
--- a/internal/lab/piper/piper.go
+++ b/internal/lab/piper/piper.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,8 @@
 
 // Network is an in-memory network of named servers. It is safe for concurrent use.
 type Network struct {
+	bytesSent atomic.Int64
+
 	mu        sync.Mutex
 	servers   map[string]*server
 	dialCount int
@@ -150,8 +153,8 @@
 
 	clientEnd, serverEnd := net.Pipe()
 	select {
-	case target.pending <- serverConn{Conn: serverEnd, remoteAddress: pipeAddress(dialNumber)}:
-		return clientEnd, nil
+	case target.pending <- serverConn{Conn: countingConn{serverEnd, &n.bytesSent}, remoteAddress: pipeAddress(dialNumber)}:
+		return countingConn{clientEnd, &n.bytesSent}, nil
 	case <-target.closed:
 		return nil, errors.Wrap(ErrRefused, name)
 	case <-ctx.Done():
@@ -159,6 +162,25 @@
 	}
 }
 
+// BytesSent returns the number of bytes that were sent on all connections.
+func (n *Network) BytesSent() int64 {
+	return n.bytesSent.Load()
+}
+
+// countingConn counts the bytes that are sent on it.
+type countingConn struct {
+	net.Conn
+	bytesSent *atomic.Int64
+}
+
+// Write sends bytes.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytesSent.Add(int64(n))
+
+	return n, err
+}
+
 // Accept returns the next connection to the server, or net.ErrClosed. It implements
 // net.Listener.
 func (s *server) Accept() (net.Conn, error) {
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -151,7 +151,7 @@
 		Kind: platform.Decoder.VersionKind(), FirstStart: settings.FirstStart, LongestStream: r.dispatcher.LongestStream,
 	}, store, logger.Named("chronicler"))
 	r.dispatcher.SetVersionSource(versionChronicler)
-	platformWatcher := watcher.New(watcher.DefaultReadPolicy(), store, platform.Decoder, versionChronicler, r.dispatcher, logger.Named("watcher"))
+	platformWatcher := watcher.New(readPolicies(settings), store, platform.Decoder, versionChronicler, r.dispatcher, logger.Named("watcher"))
 	r.counters = counters
 	r.callerConnections = newConnectionTracker(r.callerIdleTimeout)
 	r.callerServer = &http.Server{
@@ -182,6 +182,36 @@
 	return r
 }
 
+const (
+	// defaultLimit is the time in which changes take effect for which the default intervals are
+	// meant. Longer ones are longer by maxScale at the most.
+	defaultLimit = 2 * time.Second
+	maxScale     = 2.0
+	// maxConfigurationScale is that of reads of the configuration: the lease on API keys has to
+	// outlast the age of what was read and a short outage of the platform.
+	maxConfigurationScale = 1.5
+)
+
+// scaleFor returns by how much intervals are longer than the default ones if changes must take
+// effect within a limit. The settings' zero value has no limit.
+func scaleFor(limit time.Duration, maxScale float64) float64 {
+	if limit <= 0 {
+		return 1
+	}
+
+	return min(maxScale, float64(limit)/float64(defaultLimit))
+}
+
+// readPolicies returns when an instance reads from the platform.
+func readPolicies(settings configurer.RelaySettings) watcher.ReadPolicies {
+	policy := watcher.DefaultReadPolicy()
+
+	return watcher.ReadPolicies{
+		Configuration: policy.WithAgesScaled(scaleFor(settings.ChangeLimit, maxConfigurationScale)),
+		Endpoints:     policy.WithAgesScaled(scaleFor(settings.DrainLimit, maxScale)),
+	}
+}
+
 // newGossiper returns a gossiper with the default settings and this instance's identity
 // and seeds.
 func (r *Runner) newGossiper(decoder gossiper.ConfigurationDecoder, counters *meter.Meter, logger hclog.Logger) *gossiper.Gossiper {
@@ -191,6 +221,7 @@
 	settings.Seeds = r.settings.SeedAddresses()
 	client := &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 2,
+		DisableCompression:  true, // Messages are small.
 		IdleConnTimeout:     peerIdleTimeout,
 		DialContext:         r.host.dialWithin(settings.ExchangeTimeout),
 	}}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -77,13 +77,18 @@
 	}
 }
 
+// ReadPolicies say when the configuration and the endpoints are read.
+type ReadPolicies struct {
+	Configuration, Endpoints freshener.ReadPolicy
+}
+
 // checkInterval is the time between checks of whether a read is due.
 const checkInterval = 50 * time.Millisecond
 
 // Watcher reads the configuration and the endpoints when they are due and passes
 // them to the control.
 type Watcher struct {
-	policy   freshener.ReadPolicy
+	policies ReadPolicies
 	store    Store
 	decoder  ObjectDecoder
 	versions VersionRecord
@@ -97,8 +102,8 @@
 }
 
 // New returns a Watcher. Serve runs it.
-func New(policy freshener.ReadPolicy, store Store, decoder ObjectDecoder, versions VersionRecord, control Control, logger hclog.Logger) *Watcher {
-	return &Watcher{policy: policy, store: store, decoder: decoder, versions: versions, control: control, logger: logger, done: make(chan struct{})}
+func New(policies ReadPolicies, store Store, decoder ObjectDecoder, versions VersionRecord, control Control, logger hclog.Logger) *Watcher {
+	return &Watcher{policies: policies, store: store, decoder: decoder, versions: versions, control: control, logger: logger, done: make(chan struct{})}
 }
 
 // String returns the name under which the supervisor logs this service.
@@ -117,13 +122,13 @@
 	endpointsDone := make(chan struct{})
 	go func() {
 		defer close(endpointsDone)
-		w.runReadLoop(ctx, "endpoints", w.readEndpoints, func() time.Duration {
+		w.runReadLoop(ctx, "endpoints", w.policies.Endpoints, w.readEndpoints, func() time.Duration {
 			_, age := w.control.DataAges()
 
 			return age
 		})
 	}()
-	w.runReadLoop(ctx, "configuration", w.readConfiguration, func() time.Duration {
+	w.runReadLoop(ctx, "configuration", w.policies.Configuration, w.readConfiguration, func() time.Duration {
 		age, _ := w.control.DataAges()
 
 		return age
@@ -135,7 +140,7 @@
 
 // runReadLoop calls read whenever the data is due for a read, until ctx ends. It logs
 // the first of several failures in a row and the success after them.
-func (w *Watcher) runReadLoop(ctx context.Context, dataName string, read func(context.Context) error, age func() time.Duration) {
+func (w *Watcher) runReadLoop(ctx context.Context, dataName string, policy freshener.ReadPolicy, read func(context.Context) error, age func() time.Duration) {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	state := freshener.ReadState{}
@@ -145,7 +150,7 @@
 		state.HasData = state.Age >= 0
 		state.Rank = w.control.Rank()
 		state.SinceLastRead = w.control.SinceBoot() - lastReadAt
-		if !w.policy.IsReadDue(state) {
+		if !policy.IsReadDue(state) {
 			continue
 		}
 		lastReadAt = w.control.SinceBoot()
--- a/pkg/freshener/read_policy.go
+++ b/pkg/freshener/read_policy.go
@@ -21,6 +21,14 @@
 	ReaderCount int
 }
 
+// WithAgesScaled returns the policy with ages multiplied by a factor.
+func (p ReadPolicy) WithAgesScaled(factor float64) ReadPolicy {
+	p.MinReadAge = time.Duration(float64(p.MinReadAge) * factor)
+	p.MaxReadAge = time.Duration(float64(p.MaxReadAge) * factor)
+
+	return p
+}
+
 // ReadState is the state that a ReadPolicy decides by.
 type ReadState struct {
 	// Rank is the number of live instances that come before this one.
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -8,10 +8,13 @@
 // loads. So each instance knows the loads that it decides by, and the number of messages
 // that it spends on that does not grow with the fleet.
 //
-// The decisions depend only on the number of peers, so that all instances make the same
-// ones.
+// In a larger fleet an instance contacts a peer of another data centre only now and then. So
+// messages also say which instances the sender knows to live, and each instance contacts one peer
+// of its data centre in every round, along a tree.
 package spreader
 
+import "time"
+
 // Fleet is what an instance knows of its peers. The zero value is an instance without
 // peers.
 type Fleet struct {
@@ -32,9 +35,15 @@
 	// fanoutDivisor sets the number of peers contacted in a round, between the two
 	// limits: the number of known peers divided by it.
 	fanoutDivisor = 6
-	// summaryInterval sets which messages to other data centres of a divided fleet
-	// carry a summary of the loads: every n-th.
-	summaryInterval = 2
+	// maxSummaryAge is the age of the summary of another data centre's loads from which an
+	// instance asks for a new one.
+	maxSummaryAge = 500 * time.Millisecond
+	// remoteRoundInterval sets the rounds of a divided fleet in which instances contact peers of
+	// other data centres: every n-th.
+	remoteRoundInterval = 2
+	// treeWidth is the number of instances that an instance passes data on to, in the tree of a
+	// data centre.
+	treeWidth = 4
 )
 
 // IsDivided reports whether the fleet is divided by data centre.
@@ -80,15 +89,30 @@
 	case isLocal:
 		peers, contacts = f.LocalPeers, localContacts
 	default:
-		peers, contacts = f.Peers-f.LocalPeers, contacts-localContacts
+		peers, contacts = remoteRoundInterval*(f.Peers-f.LocalPeers), contacts-localContacts
 	}
 
 	return max(1, peers/max(1, 2*contacts))
 }
 
-// CarriesLoads reports whether the n-th message to a peer, counted from 0, carries loads.
-func (f Fleet) CarriesLoads(isLocal bool, n int) bool {
-	return f.SharesEngines(isLocal) || n%summaryInterval == 0
+// IsLocalRound reports whether instances contact only peers of their data centres, and their
+// parents, in the n-th round.
+func (f Fleet) IsLocalRound(n int) bool {
+	return f.IsDivided() && n%remoteRoundInterval != 0
+}
+
+// CarriesLoads reports whether messages to a peer and its replies carry loads, given the age of
+// what the instance knows of the loads in the peer's data centre. Instances that share engines
+// always tell their loads. A summary of a data centre is large, so it is sent on request.
+func (f Fleet) CarriesLoads(isLocal bool, summaryAge time.Duration) bool {
+	return f.SharesEngines(isLocal) || summaryAge >= maxSummaryAge
+}
+
+// Parent returns the index of the member that a member of a data centre contacts in each round,
+// both in the order of the members' names, so that what the first one knows reaches all within
+// few rounds. The first one has none.
+func Parent(index int) (parent int, ok bool) {
+	return (index - 1) / treeWidth, index > 0
 }
 
 // SharesEngines reports whether the instance and a peer place requests on the same engines
