chronicler, watcher: Keep endpoints in use while their versions are being recorded

Cause, found by reading the change before: an instance whose copy of the record is older than another's left the endpoints of a new version out until its own update ended, and passed that listing on. And where reads follow a site's limit of 4 s, the usual time between two (2.2 s) was longer than the silence that counts as an outage (1.5 s), after which endpoints that left are kept for 2 s more. Change: endpoints in use stay; a read waits for the update if it would leave out any. All intervals grow by half at the most, and the silence that counts as an outage with them.

--- a/internal/chronicler/chronicler.go
+++ b/internal/chronicler/chronicler.go
@@ -40,10 +40,10 @@
 	// firstStartSpread is the time over which instances that all start for the first time
 	// spread their reads, so that few of them write the first record.
 	firstStartSpread = 300 * time.Millisecond
-	// firstListingTimeout limits the wait for the record before any endpoint is in use, and
-	// holdTimeout the time for which endpoints are left out while it cannot be written.
-	firstListingTimeout = 500 * time.Millisecond
-	holdTimeout         = 3 * time.Second
+	// updateTimeout limits the wait for an update of the record, and holdTimeout the time for
+	// which endpoints are left out while it cannot be written.
+	updateTimeout = 500 * time.Millisecond
+	holdTimeout   = 3 * time.Second
 	// maxWrites is how often an update is tried while others write the record too.
 	maxWrites = 4
 )
@@ -67,7 +67,7 @@
 	heldSince time.Time     // when endpoints began to be left out; zero if none are
 	nextRead  *read         // a read that was not sent yet; nil if there is none
 
-	sending sync.Mutex // held while a read is sent
+	sending chan struct{} // holds a value while a read is sent
 }
 
 // read is one read of the record on behalf of all who asked before it was sent.
@@ -79,33 +79,33 @@
 
 // New returns a chronicler that knows no record.
 func New(settings Settings, store Store, logger hclog.Logger) *Chronicler {
-	return &Chronicler{settings: settings, store: store, logger: logger, historian: historian.New(settings.FirstStart)}
+	return &Chronicler{settings: settings, store: store, logger: logger, historian: historian.New(settings.FirstStart), sending: make(chan struct{}, 1)}
 }
 
 // Admit returns the listed endpoints at which streams may begin, since their versions are
-// recorded, and whether these are all. It updates the record in the background if that is due.
-// If no endpoint may be used yet, it waits for the update.
+// recorded, and those that are in use: another instance has found their versions recorded. It
+// updates the record if that is due, and waits for the update if endpoints would be left out.
 //
 // If the record cannot be written for holdTimeout, all endpoints are returned: callers are served
 // although a stream may not be known later.
-func (c *Chronicler) Admit(ctx context.Context, epoch uint64, endpoints []registrar.Endpoint) (admitted []registrar.Endpoint, isComplete bool) {
+func (c *Chronicler) Admit(ctx context.Context, epoch uint64, endpoints []registrar.Endpoint, isInUse func(registrar.Endpoint) bool) []registrar.Endpoint {
 	c.mu.Lock()
 	now := time.Now()
 	c.historian.ApplyListing(now, epoch, versionsByService(endpoints))
 	updated := c.startUpdate(now)
 	c.mu.Unlock()
-	admitted = c.recorded(endpoints)
-	if updated != nil && len(admitted) == 0 && len(endpoints) > 0 {
+	admitted := c.usable(endpoints, isInUse)
+	if updated != nil && len(admitted) < len(endpoints) {
 		c.await(ctx, updated)
-		admitted = c.recorded(endpoints)
+		admitted = c.usable(endpoints, isInUse)
 	}
 	if len(admitted) < len(endpoints) && c.hasHeldTooLong(now) {
 		c.logger.Warn("Endpoints are used before the record has their versions.", "endpoints", len(endpoints)-len(admitted))
 
-		return endpoints, true
+		return endpoints
 	}
 
-	return admitted, len(admitted) == len(endpoints)
+	return admitted
 }
 
 // versionsByService returns the versions of endpoints.
@@ -118,24 +118,25 @@
 	return versions
 }
 
-// recorded returns the endpoints whose versions are recorded.
-func (c *Chronicler) recorded(endpoints []registrar.Endpoint) []registrar.Endpoint {
+// usable returns the endpoints whose versions are recorded or that are in use, and keeps since
+// when others are left out.
+func (c *Chronicler) usable(endpoints []registrar.Endpoint, isInUse func(registrar.Endpoint) bool) []registrar.Endpoint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	recorded := make([]registrar.Endpoint, 0, len(endpoints))
+	usable := make([]registrar.Endpoint, 0, len(endpoints))
 	for _, endpoint := range endpoints {
-		if c.historian.IsRecorded(endpoint.Service, endpoint.Version) {
-			recorded = append(recorded, endpoint)
+		if c.historian.IsRecorded(endpoint.Service, endpoint.Version) || isInUse(endpoint) {
+			usable = append(usable, endpoint)
 		}
 	}
 	switch {
-	case len(recorded) == len(endpoints):
+	case len(usable) == len(endpoints):
 		c.heldSince = time.Time{}
 	case c.heldSince.IsZero():
 		c.heldSince = time.Now()
 	}
 
-	return recorded
+	return usable
 }
 
 // hasHeldTooLong reports whether endpoints have been left out for too long.
@@ -146,9 +147,9 @@
 	return !c.heldSince.IsZero() && now.Sub(c.heldSince) >= holdTimeout
 }
 
-// await waits for an update, for firstListingTimeout at the longest.
+// await waits for an update, for updateTimeout at the longest.
 func (c *Chronicler) await(ctx context.Context, updated <-chan struct{}) {
-	timer := time.NewTimer(firstListingTimeout)
+	timer := time.NewTimer(updateTimeout)
 	defer timer.Stop()
 	select {
 	case <-updated:
@@ -300,8 +301,8 @@
 
 // send reads the record for all who wait for r, once the read before it has ended.
 func (c *Chronicler) send(r *read) {
-	c.sending.Lock()
-	defer c.sending.Unlock()
+	c.sending <- struct{}{}
+	defer func() { <-c.sending }()
 	c.mu.Lock()
 	c.nextRead = nil
 	c.mu.Unlock()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,9 @@
 	// ReregistrationWindow is how long after an outage of the platform an endpoint whose
 	// registration expired may still register again before it is removed.
 	ReregistrationWindow time.Duration
+	// MinOutage is the silence of the platform after which registrations may have expired
+	// meanwhile; 0 means DefaultMinOutage. It is longer than the usual time between two reads.
+	MinOutage time.Duration
 	// RepeatLimits limits the repeats of requests that all instances make together.
 	RepeatLimits retrier.RepeatLimiterSettings
 }
@@ -46,15 +50,20 @@
 	// expiryCheckInterval is how often the control goroutine removes expired
 	// endpoints.
 	expiryCheckInterval = 100 * time.Millisecond
-	// minPlatformOutage is the silence of the platform after which registrations may
-	// have expired meanwhile. Endpoints renew them about every second and may have
-	// tried three times without success.
-	minPlatformOutage = 1500 * time.Millisecond
 	// maxQueuedCalls is the size of the queue of calls that wait for the control
 	// goroutine.
 	maxQueuedCalls = 256
 )
 
+// DefaultMinOutage is the default of Settings.MinOutage. Endpoints renew their registrations
+// about every second and may have tried three times without success.
+const DefaultMinOutage = 1500 * time.Millisecond
+
+// registrarSettings returns the time limits of the registry's copy.
+func (s Settings) registrarSettings() registrar.Settings {
+	return registrar.Settings{ReregistrationWindow: s.ReregistrationWindow, MinOutage: cmp.Or(s.MinOutage, DefaultMinOutage)}
+}
+
 // Clock reads the machine's clocks.
 type Clock struct {
 	// Now returns the current time.
@@ -130,7 +139,7 @@
 		done:          make(chan struct{}),
 		initialized:   make(chan struct{}),
 		lease:         freshener.New(settings.KeyLeaseDuration),
-		registry:      registrar.New(registrar.Settings{ReregistrationWindow: settings.ReregistrationWindow, MinOutage: minPlatformOutage}),
+		registry:      registrar.New(settings.registrarSettings()),
 		placer:        placer.New(placer.Settings{InstanceName: settings.Name, DataCentre: settings.DataCentre}),
 		repeatLimiter: retrier.NewRepeatLimiter(settings.RepeatLimits),
 		quarantine:    quarantiner.New(quarantiner.DefaultSettings()),
@@ -156,7 +165,7 @@
 	d.runAndWait(func() {
 		d.lease.SetLifetime(settings.KeyLeaseDuration)
 		d.publishLease()
-		d.registry.Configure(registrar.Settings{ReregistrationWindow: settings.ReregistrationWindow, MinOutage: minPlatformOutage})
+		d.registry.Configure(settings.registrarSettings())
 		d.repeatLimiter.Configure(d.clock.Now(), settings.RepeatLimits)
 	})
 }
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"time"
 
@@ -88,6 +89,17 @@
 	})
 }
 
+// IsListed reports whether the last listing has the same incarnation of an endpoint.
+func (d *Dispatcher) IsListed(endpoint registrar.Endpoint) (listed bool) {
+	d.runAndWait(func() {
+		listed = slices.ContainsFunc(d.listedEndpoints, func(known registrar.Endpoint) bool {
+			return known.ID == endpoint.ID && known.StartedUnixMs == endpoint.StartedUnixMs && known.Version == endpoint.Version
+		})
+	})
+
+	return listed
+}
+
 // recordEpoch notices that the store came back from an older copy.
 func (d *Dispatcher) recordEpoch(epoch uint64) {
 	if epoch <= d.storeEpoch {
--- a/internal/relayrunner/reload.go
+++ b/internal/relayrunner/reload.go
@@ -44,6 +44,7 @@
 		DataCentre:           settings.DataCentre,
 		KeyLeaseDuration:     settings.KeyLeaseDuration - keyLeaseMargin,
 		ReregistrationWindow: settings.ReregistrationWindow,
+		MinOutage:            time.Duration(scaleFor(settings.DrainLimit) * float64(dispatcher.DefaultMinOutage)),
 		RepeatLimits: retrier.RepeatLimiterSettings{
 			Window: settings.RepeatWindow, RepeatRatio: settings.RepeatRatio, Burst: settings.RepeatBurst,
 		},
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -184,17 +184,16 @@
 
 const (
 	// defaultLimit is the time in which changes take effect for which the default intervals are
-	// meant. Longer ones are longer by maxScale at the most.
+	// meant. Intervals for a longer one are longer by maxScale at the most: the lease on API keys
+	// has to outlast the age of what was read and a short outage of the platform, and entries of
+	// endpoints expire in an outage of some seconds.
 	defaultLimit = 2 * time.Second
-	maxScale     = 2.0
-	// maxConfigurationScale is that of reads of the configuration: the lease on API keys has to
-	// outlast the age of what was read and a short outage of the platform.
-	maxConfigurationScale = 1.5
+	maxScale     = 1.5
 )
 
 // scaleFor returns by how much intervals are longer than the default ones if changes must take
 // effect within a limit. The settings' zero value has no limit.
-func scaleFor(limit time.Duration, maxScale float64) float64 {
+func scaleFor(limit time.Duration) float64 {
 	if limit <= 0 {
 		return 1
 	}
@@ -207,8 +206,8 @@
 	policy := watcher.DefaultReadPolicy()
 
 	return watcher.ReadPolicies{
-		Configuration: policy.WithAgesScaled(scaleFor(settings.ChangeLimit, maxConfigurationScale)),
-		Endpoints:     policy.WithAgesScaled(scaleFor(settings.DrainLimit, maxScale)),
+		Configuration: policy.WithAgesScaled(scaleFor(settings.ChangeLimit)),
+		Endpoints:     policy.WithAgesScaled(scaleFor(settings.DrainLimit)),
 	}
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -52,6 +52,8 @@
 	// ApplyConfiguration applies a configuration that was read by a call sent at the
 	// given time.
 	ApplyConfiguration(sentAt time.Duration, configuration *matcher.Matcher, stored dispatcher.StoredConfiguration)
+	// IsListed reports whether the last listing has the same incarnation of an endpoint.
+	IsListed(endpoint registrar.Endpoint) bool
 	// ApplyListing applies a list of all endpoints, read in an epoch of the store by calls
 	// of which the first was sent at the given time.
 	ApplyListing(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint)
@@ -59,9 +61,9 @@
 
 // VersionRecord keeps the record of the endpoints' versions.
 type VersionRecord interface {
-	// Admit returns the listed endpoints that may be used since their versions are recorded,
-	// and whether these are all.
-	Admit(ctx context.Context, epoch uint64, endpoints []registrar.Endpoint) (admitted []registrar.Endpoint, isComplete bool)
+	// Admit returns the listed endpoints that may be used, since their versions are recorded or
+	// since they are in use.
+	Admit(ctx context.Context, epoch uint64, endpoints []registrar.Endpoint, isInUse func(registrar.Endpoint) bool) []registrar.Endpoint
 }
 
 // DefaultReadPolicy returns a policy with which every instance applies a change
@@ -227,8 +229,8 @@
 			after = page.Items[len(page.Items)-1].Name
 		}
 	}
-	admitted, isComplete := w.versions.Admit(ctx, epoch, endpoints)
-	if !isComplete && len(admitted) == 0 {
+	admitted := w.versions.Admit(ctx, epoch, endpoints, w.control.IsListed)
+	if len(admitted) == 0 && len(endpoints) > 0 {
 		return errors.New("the endpoints' versions are not recorded yet")
 	}
 	w.control.ApplyListing(sentAt, epoch, admitted)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -83,8 +83,8 @@
 // recordedVersions is a record of all versions.
 type recordedVersions struct{}
 
-func (recordedVersions) Admit(_ context.Context, _ uint64, endpoints []registrar.Endpoint) ([]registrar.Endpoint, bool) {
-	return endpoints, true
+func (recordedVersions) Admit(_ context.Context, _ uint64, endpoints []registrar.Endpoint, _ func(registrar.Endpoint) bool) []registrar.Endpoint {
+	return endpoints
 }
 
 // runWatcher runs a test in virtual time with a watcher of an instance of the given
