--- a/internal/gossiper/selection.go
+++ b/internal/gossiper/selection.go
@@ -45,7 +45,7 @@
 		p.carriesLoads = fleet.CarriesLoads(g.isLocal(p), now.Sub(g.summaryAt[p.dataCentre]))
 		p.sharesEngines = fleet.SharesEngines(g.isLocal(p))
 		if p.carriesLoads && !p.sharesEngines {
-			g.summaryAt[p.dataCentre] = now // Asked for; the next round asks again if it does not come.
+			g.summaryAt[p.dataCentre] = now // Asked for; it is asked for again when it would be too old.
 		}
 	}
 
