dispatcher: Give no final answer on a stream that peers out of reach may know

Cause, found by reading: an instance whose peers are all out of reach counts no holders of pins, took that for the answer of all, and told callers that nobody knows the stream (lost-version), so that they began anew. Change: without holders the answer is final only if there are no other instances; otherwise it is unknown-version, come back. Measured: TestStreamIsLostOnlyIfNoOtherInstanceMayKnowIt failed before ("nobody knows" where "not yet known" is due) and passes.

--- a/internal/dispatcher/pin.go
+++ b/internal/dispatcher/pin.go
@@ -86,7 +86,8 @@
 			replies <- reply{pin, ok, err}
 		}()
 	}
-	allAnswered = true
+	// An instance that is cut off from its peers has nobody to ask.
+	allAnswered = len(holders) > 0 || d.instanceCount.Load() <= 1
 	for range holders {
 		found := <-replies
 		if found.ok {
