dispatcher, chronicler: Log why the version of a stream is not known

Cause, found by reading: "not yet known" and "nobody knows" had several causes each that no line told apart, and the line on endpoints used before they are recorded named no version. Change: the reason in "Stream is taken up."; the listed versions and the epoch in the other. Two comments were unclear. Measured: tests of dispatcher, chronicler and relayer pass; no behaviour but logs changes.

--- a/internal/chronicler/chronicler.go
+++ b/internal/chronicler/chronicler.go
@@ -100,7 +100,8 @@
 		admitted = c.usable(endpoints, isInUse)
 	}
 	if len(admitted) < len(endpoints) && c.hasHeldTooLong(now) {
-		c.logger.Warn("Endpoints are used before the record has their versions.", "endpoints", len(endpoints)-len(admitted))
+		c.logger.Warn("Endpoints are used before the record has their versions.", "endpoints", len(endpoints)-len(admitted),
+			"listed versions", versionsByService(endpoints), "epoch", epoch)
 
 		return endpoints
 	}
--- a/internal/dispatcher/pin.go
+++ b/internal/dispatcher/pin.go
@@ -156,6 +156,8 @@
 	State OriginState
 	// Service and Version are empty unless the version is known.
 	Service, Version string
+	// Reason says for logs why the version is not known.
+	Reason string
 }
 
 // settleTime is the time after its start in which an instance learns of all others.
@@ -164,27 +166,32 @@
 // FindOrigin finds the version that began a stream; streamID is 0 if the caller does not name the
 // stream. The service is the one that the route leads to, empty if it leads to several.
 func (d *Dispatcher) FindOrigin(ctx context.Context, streamID uint64, service string) Origin {
-	isSettled := d.clock.SinceBoot()-d.startedAt >= settleTime
+	pendingReason := ""
+	if d.clock.SinceBoot()-d.startedAt < settleTime {
+		pendingReason = "just started"
+	}
 	if streamID != 0 {
 		pin, ok, allAnswered := d.FindPin(ctx, streamID)
 		if ok {
-			return Origin{OriginPinned, pin.Service, pin.Version}
+			return Origin{State: OriginPinned, Service: pin.Service, Version: pin.Version}
+		}
+		if !allAnswered {
+			pendingReason = "peers did not answer"
 		}
-		isSettled = isSettled && allAnswered
 	}
 	version, ok, err := d.onlyVersion(ctx, service)
 	switch {
 	case ok:
-		return Origin{OriginOnlyVersion, service, version}
+		return Origin{State: OriginOnlyVersion, Service: service, Version: version}
 	case err != nil:
-		d.logger.Info("Cannot read the record of versions.", "service", service, "error", err)
-
-		return Origin{State: OriginPending}
-	case !isSettled:
-		return Origin{State: OriginPending}
+		return Origin{State: OriginPending, Reason: "record of versions: " + err.Error()}
+	case pendingReason != "":
+		return Origin{State: OriginPending, Reason: pendingReason}
+	case service == "":
+		return Origin{State: OriginLost, Reason: "the route leads to several services"}
 	}
 
-	return Origin{State: OriginLost}
+	return Origin{State: OriginLost, Reason: "the record of versions or the registry has several"}
 }
 
 // onlyVersion returns the version at which all streams of a service began, if the record of
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -76,8 +76,8 @@
 	// divided one each contacts up to maxStartupContacts new ones beside it.
 	startupRounds      = 10
 	maxStartupContacts = 24
-	// missingMemberDivisor is the part of the live instances that a peer may lack before it is
-	// told their addresses: one in so many.
+	// missingMemberDivisor sets how many live instances a peer may lack before it is told their
+	// addresses: an eighth of those that it knows.
 	missingMemberDivisor = 8
 )
 
@@ -97,7 +97,7 @@
 	peers      map[string]*peer     // by address
 	byHash     map[uint64]*peer     // by the hash of the address in messages
 	summaryAt  map[string]time.Time // when the summary of a data centre's loads came or was asked for
-	heard      []uint64             // what messages say of other instances, built once a round
+	heard      []uint64             // entries for live instances in messages; replaced each round
 	leaving    bool                 // sent in messages: this instance is about to stop
 	roundCount int
 }
--- a/internal/relayer/version.go
+++ b/internal/relayer/version.go
@@ -72,10 +72,10 @@
 	}
 	origin := r.relayer.dispatcher.FindOrigin(ctx, streamID, service)
 	if origin.Version != "" && !r.useService(origin.Service) {
-		origin = dispatcher.Origin{State: dispatcher.OriginLost}
+		origin = dispatcher.Origin{State: dispatcher.OriginLost, Reason: "the route no longer leads to the service"}
 	}
 	r.relayer.logger.Info("Stream is taken up.", "request", r.metadata.ID, "resumes", resumed, "after event", r.metadata.LastEventID,
-		"service", r.placementRequest.Service, "version", origin.Version, "known", origin.Version != "", "origin", origin.State.String())
+		"service", r.placementRequest.Service, "version", origin.Version, "known", origin.Version != "", "origin", origin.State.String(), "reason", origin.Reason)
 	switch origin.State {
 	case dispatcher.OriginPending:
 		return answerer.New(answerer.KindUnknownVersion, "The software version that began the stream is not known yet.").WithRetryAfter(reconnectRetryAfter)
