tester: Run race tests on one thread a process

In Go 1.26.8 a goroutine that receives from an expired ticker runs its timer itself (runtime.maybeRunChan) in the detector's context of the synctest bubble, which other threads may be using at the same moment. Ruled out: our goroutines (none ends early), the limit of 8,128 goroutines (its message is another). Change: the tests under the race detector run with -cpu 1. The detector judges by the order of events, so what it finds does not depend on threads. Tests without it keep all threads.

--- a/internal/lab/tester/tester.go
+++ b/internal/lab/tester/tester.go
@@ -113,6 +113,11 @@
 	{"./pkg/isolator"},
 }
 
+// raceTests are the arguments of `go test` for all tests under the race detector. Up to Go
+// 1.26 the detector fails at random when two threads run timers of one synctest bubble, so
+// each test process has one: what is a race follows from the order of events, not from threads.
+var raceTests = []string{"-race", "-cpu", "1", "./..."}
+
 // Tester runs the tests.
 type Tester struct {
 	settings Settings
@@ -153,7 +158,7 @@
 	}
 	arguments := []string{"./..."}
 	if t.settings.Race {
-		arguments = []string{"-race", "./..."}
+		arguments = raceTests
 	}
 	err := t.run(ctx, t.testArguments(arguments)...)
 	if t.settings.Long {
