dispatcher: Guard the state by a lock, not a goroutine

Cause: each call of the dispatcher was a closure and a channel handed to a goroutine and two switches between goroutines; an exchange of messages makes ten such calls, a request as many. runtime.selectgo is 10% of the profile of instances at rest. Change: a mutex. Nothing is waited for under it; calls after the end of Serve do nothing, as before.

--- a/internal/dispatcher/availability.go
+++ b/internal/dispatcher/availability.go
@@ -16,7 +16,7 @@
 
 // RecordAvailability records what an endpoint's answer said of its taking further requests.
 func (d *Dispatcher) RecordAvailability(placement Placement, availability Availability) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		endpoint := placement.EndpointID
 		if availability.IsLeaving && d.registry.RecordLeaving(endpoint) {
 			d.logger.Info("Endpoint says that it leaves.", "endpoint", endpoint)
--- a/internal/dispatcher/block.go
+++ b/internal/dispatcher/block.go
@@ -8,7 +8,7 @@
 )
 
 // HasBlockRecords reports whether prompt blocks are known that were present when endpoints
-// crashed. It does not wait for the control goroutine.
+// crashed. It takes no lock.
 func (d *Dispatcher) HasBlockRecords() bool {
 	return d.hasBlockRecords.Load()
 }
@@ -19,7 +19,7 @@
 	if len(blocks) == 0 || !d.HasBlockRecords() {
 		return isolator.Allowed
 	}
-	d.runAndWait(func() { verdict = d.isolator.Decide(d.clock.Now(), blocks) })
+	d.withState(func() { verdict = d.isolator.Decide(d.clock.Now(), blocks) })
 
 	return verdict
 }
@@ -31,7 +31,7 @@
 		return true
 	}
 	mayRepeat := true
-	d.runAndWait(func() { mayRepeat = d.isolator.MayRepeat(blocks) })
+	d.withState(func() { mayRepeat = d.isolator.MayRepeat(blocks) })
 
 	return mayRepeat
 }
@@ -39,10 +39,10 @@
 // RecordCompletedBlocks records that a request whose prompt has the blocks ran to
 // completion.
 func (d *Dispatcher) RecordCompletedBlocks(blocks []uint64) {
-	d.runAndWait(func() { d.recordCompletedBlocks(blocks) })
+	d.withState(func() { d.recordCompletedBlocks(blocks) })
 }
 
-// recordCompletedBlocks is RecordCompletedBlocks on the control goroutine.
+// recordCompletedBlocks is RecordCompletedBlocks for callers that hold the lock.
 func (d *Dispatcher) recordCompletedBlocks(blocks []uint64) {
 	if len(blocks) == 0 {
 		return
@@ -75,7 +75,7 @@
 // QuarantinedBlocks returns the records of the blocks in quarantine, and whether this
 // instance is the first live one by name.
 func (d *Dispatcher) QuarantinedBlocks() (records []isolator.Record, isFirst bool) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		isFirst = d.rank == 0
 		if d.HasBlockRecords() {
 			records = d.isolator.CauseRecords(d.clock.Now())
@@ -87,7 +87,7 @@
 
 // RestoreBlocks adds records of blocks that were archived.
 func (d *Dispatcher) RestoreBlocks(records []isolator.Record) {
-	d.runAndWait(func() { d.mergeBlocks(d.clock.Now(), records) })
+	d.withState(func() { d.mergeBlocks(d.clock.Now(), records) })
 }
 
 // reportCauses logs the blocks in quarantine if they have changed, and why they have.
--- a/internal/dispatcher/brittle.go
+++ b/internal/dispatcher/brittle.go
@@ -19,8 +19,8 @@
 	d.onRejection = callback
 }
 
-// HasBrittleEndpoints reports whether the endpoints of any service are brittle. It does not wait
-// for the control goroutine.
+// HasBrittleEndpoints reports whether the endpoints of any service are brittle. It takes
+// no lock.
 func (d *Dispatcher) HasBrittleEndpoints() bool {
 	return d.hasBrittle.Load()
 }
@@ -28,7 +28,7 @@
 // RecordMaxRejections records what an answer says of the rejections a second that the endpoints
 // of a service bear. The request was sent at sentAt.
 func (d *Dispatcher) RecordMaxRejections(service string, sentAt time.Time, maxRejections throttler.Limit) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		if d.protector.RecordAnswer(d.clock.Now(), sentAt, service, maxRejections) {
 			d.logBrittle(service, "answer")
 		}
@@ -45,7 +45,7 @@
 // nothing if none are now.
 func (d *Dispatcher) BrittleServices() (statements []throttler.Statement) {
 	if d.HasBrittleEndpoints() {
-		d.runAndWait(func() { statements = d.protector.Statements(d.clock.Now()) })
+		d.withState(func() { statements = d.protector.Statements(d.clock.Now()) })
 	}
 
 	return statements
@@ -57,7 +57,7 @@
 	if len(statements) == 0 {
 		return
 	}
-	d.runAndWait(func() {
+	d.withState(func() {
 		for _, statement := range statements {
 			wasBrittle := d.protector.IsBrittle(statement.Endpoint)
 			d.protector.ReceiveStatements(d.clock.Now(), []throttler.Statement{statement})
@@ -73,7 +73,7 @@
 	if !d.HasBrittleEndpoints() {
 		return
 	}
-	d.runAndWait(func() {
+	d.withState(func() {
 		if d.protector.RecordRejection(d.clock.Now(), placement.EndpointID, placement.KnownLoad.RunningRequests) {
 			d.logger.Info("Brittle endpoint rejected a request.", "endpoint", placement.EndpointID, "known running", placement.KnownLoad.RunningRequests)
 			d.onRejection(placement.EndpointID)
@@ -86,10 +86,10 @@
 	if len(rejections) == 0 {
 		return
 	}
-	d.runAndWait(func() { d.recordRejections(rejections) })
+	d.withState(func() { d.recordRejections(rejections) })
 }
 
-// recordRejections is ReceiveRejections on the control goroutine.
+// recordRejections is ReceiveRejections for callers that hold the lock.
 func (d *Dispatcher) recordRejections(rejections []Rejection) {
 	for _, rejection := range rejections {
 		running, _ := d.placer.Occupancy(rejection.EndpointID)
--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -34,7 +34,7 @@
 
 // RecordBrokenAnswer records that the answer to a request broke off.
 func (d *Dispatcher) RecordBrokenAnswer(placement Placement, answer BrokenAnswer) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		answers := d.brokenAnswers[placement.EndpointID]
 		if len(answers) >= maxBrokenAnswersPerEndpoint {
 			answers = answers[1:]
@@ -47,7 +47,7 @@
 // RecordEndpointDown records that an endpoint accepts no connections. If it gave broken
 // answers shortly before, it crashed, and each of their requests may be the cause.
 func (d *Dispatcher) RecordEndpointDown(placement Placement) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		now := d.clock.Now()
 		var recent []BrokenAnswer
 		for _, answer := range d.brokenAnswers[placement.EndpointID] {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -2,14 +2,14 @@
 // requests: the configuration, the registered endpoints, the load, the repeats and the
 // quarantine.
 //
-// One control goroutine owns the state, because the packages under pkg/ that make the
-// decisions are not safe for concurrent use. The goroutines that relay requests call
-// it and wait for the result.
+// A lock guards the state, because the packages under pkg/ that make the decisions are not safe
+// for concurrent use. Nobody waits for anything else while holding it.
 package dispatcher
 
 import (
 	"cmp"
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,12 +47,8 @@
 }
 
 const (
-	// expiryCheckInterval is how often the control goroutine removes expired
-	// endpoints.
+	// expiryCheckInterval is how often expired endpoints are removed.
 	expiryCheckInterval = 100 * time.Millisecond
-	// maxQueuedCalls is the size of the queue of calls that wait for the control
-	// goroutine.
-	maxQueuedCalls = 256
 )
 
 // DefaultMinOutage is the default of Settings.MinOutage. Endpoints renew their registrations
@@ -80,7 +76,6 @@
 	logger     hclog.Logger
 	name       string
 	dataCentre string
-	calls      chan func()
 	done       chan struct{}
 	// initialized is closed when a configuration and the endpoints are known.
 	initialized chan struct{}
@@ -91,8 +86,9 @@
 	reach          atomic.Pointer[reachSummary]
 	sharedLease    atomic.Pointer[freshener.Lease] // a copy of lease for other goroutines
 
-	// Only the control goroutine uses the following fields, except the atomic ones and
-	// permitSource and pinSource.
+	// mu guards the following fields, except the atomic ones and permitSource and pinSource.
+	mu                  sync.Mutex
+	hasEnded            bool
 	lease               *freshener.Lease
 	registry            *registrar.Registrar
 	placer              *placer.Placer
@@ -127,15 +123,13 @@
 	onLoadChange        func(endpoint string, load placer.Load)
 }
 
-// New returns a dispatcher without a configuration or endpoints. Most of its
-// methods block until Serve runs.
+// New returns a dispatcher without a configuration or endpoints.
 func New(settings Settings, clock Clock, logger hclog.Logger) *Dispatcher {
 	d := &Dispatcher{
 		clock:         clock,
 		logger:        logger,
 		name:          settings.Name,
 		dataCentre:    settings.DataCentre,
-		calls:         make(chan func(), maxQueuedCalls),
 		done:          make(chan struct{}),
 		initialized:   make(chan struct{}),
 		lease:         freshener.New(settings.KeyLeaseDuration),
@@ -162,7 +156,7 @@
 
 // Configure replaces the limits. It does not change the name and the data centre.
 func (d *Dispatcher) Configure(settings Settings) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		d.lease.SetLifetime(settings.KeyLeaseDuration)
 		d.publishLease()
 		d.registry.Configure(settings.registrarSettings())
@@ -183,7 +177,7 @@
 	return "dispatcher"
 }
 
-// Done returns a channel that is closed when the control goroutine has ended.
+// Done returns a channel that is closed when Serve has ended.
 func (d *Dispatcher) Done() <-chan struct{} {
 	return d.done
 }
@@ -207,7 +201,7 @@
 	}
 }
 
-// Serve runs the control goroutine until ctx ends.
+// Serve removes expired endpoints until ctx ends. After that, calls do nothing.
 func (d *Dispatcher) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(expiryCheckInterval)
 	defer ticker.Stop()
@@ -215,29 +209,28 @@
 	for {
 		select {
 		case <-ctx.Done():
+			d.withState(func() { d.hasEnded = true })
+
 			return ctx.Err()
-		case call := <-d.calls:
-			call()
 		case <-ticker.C:
-			if d.registry.RemoveExpired(d.clock.Now()) {
-				d.updatePlacer()
-			}
+			d.withState(d.removeExpired)
 		}
 	}
 }
 
-// runAndWait runs a call on the control goroutine and waits until it returns. It may do
-// nothing if the control goroutine ends.
-func (d *Dispatcher) runAndWait(call func()) {
-	returned := make(chan struct{})
-	select {
-	case d.calls <- func() { call(); close(returned) }:
-	case <-d.done:
-		return
+// removeExpired removes expired endpoints.
+func (d *Dispatcher) removeExpired() {
+	if d.registry.RemoveExpired(d.clock.Now()) {
+		d.updatePlacer()
 	}
-	select {
-	case <-returned:
-	case <-d.done:
+}
+
+// withState runs a call that uses the state, unless Serve has ended.
+func (d *Dispatcher) withState(call func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.hasEnded {
+		call()
 	}
 }
 
@@ -258,7 +251,7 @@
 // listing of the endpoints.
 func (d *Dispatcher) IsReady() bool {
 	hasListing := false
-	d.runAndWait(func() { hasListing = d.registry.HasListing() })
+	d.withState(func() { hasListing = d.registry.HasListing() })
 
 	return hasListing && d.Matcher() != nil && d.IsConfigurationFresh()
 }
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -74,7 +74,7 @@
 
 // BuildMessage returns the message to send to peers, with the loads of the given scope.
 func (d *Dispatcher) BuildMessage(scope LoadScope) (message Message) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		now := d.clock.Now()
 		message.DataCentre, message.IsSummary, message.OmitsLoads = d.dataCentre, scope == DataCentreLoads, scope == NoLoads
 		if scope != NoLoads {
@@ -110,7 +110,7 @@
 // ReceiveMessage records a peer's loads, prefills, demands, suspects and blocks. It does not use the
 // message's versions: pass those to ReceiveVersions.
 func (d *Dispatcher) ReceiveMessage(peer string, message Message) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		switch {
 		case message.OmitsLoads:
 		case !message.IsSummary:
@@ -127,7 +127,7 @@
 
 // ReceiveLoadUpdate replaces a peer's load at one endpoint.
 func (d *Dispatcher) ReceiveLoadUpdate(peer, endpoint string, load placer.Load) {
-	d.runAndWait(func() { d.placer.ReceiveLoadUpdate(peer, endpoint, load) })
+	d.withState(func() { d.placer.ReceiveLoadUpdate(peer, endpoint, load) })
 }
 
 // ReceiveVersions compares a peer's versions with the local ones. A listing of a later
@@ -137,7 +137,7 @@
 // earlier than that time less their age, so the data counts from then and never seems
 // younger than it is.
 func (d *Dispatcher) ReceiveVersions(sentAt time.Duration, versions Versions) (plan FetchPlan) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		current := d.currentMatcher.Load()
 		switch {
 		case versions.ConfigurationNumber == 0:
--- a/internal/dispatcher/permit.go
+++ b/internal/dispatcher/permit.go
@@ -123,7 +123,7 @@
 // CanPlace reports whether an endpoint may get the request now without a request for
 // a permit.
 func (d *Dispatcher) CanPlace(request placer.Request) (ok bool) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		now := d.clock.Now()
 		request.Blocked = d.addProtected(now, d.blockedEndpoints(now, request.Tier, false), request.Tier, false)
 		_, ok = d.placer.Pick(now, request)
@@ -135,7 +135,7 @@
 // Lend answers a peer's request for a permit. It lends none of an endpoint that is not
 // registered here.
 func (d *Dispatcher) Lend(request PermitRequest) (reply throttler.Reply) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		endpoint := request.Statement.Endpoint
 		if !d.placer.HasEndpoint(endpoint) {
 			reply = throttler.Reply{Wait: unregisteredWait, Reason: throttler.Unregistered}
@@ -163,7 +163,7 @@
 // RecordLimit records what an endpoint's answer said of its limit. The request was sent at
 // sentAt.
 func (d *Dispatcher) RecordLimit(placement Placement, sentAt time.Time, limit throttler.Limit) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		before, _ := d.throttler.Statement(placement.EndpointID)
 		d.throttler.RecordAnswer(d.clock.Now(), sentAt, placement.EndpointID, limit)
 		d.logLimitChange(placement.EndpointID, before, "answer")
@@ -175,7 +175,7 @@
 	if !d.HasLimits() {
 		return nil
 	}
-	d.runAndWait(func() { statements = d.throttler.Statements(d.clock.Now()) })
+	d.withState(func() { statements = d.throttler.Statements(d.clock.Now()) })
 
 	return statements
 }
@@ -183,11 +183,11 @@
 // ReceiveLimits records what a peer knows of the endpoints' limits.
 func (d *Dispatcher) ReceiveLimits(statements []throttler.Statement) {
 	if len(statements) > 0 {
-		d.runAndWait(func() { d.receiveStatements(d.clock.Now(), statements) })
+		d.withState(func() { d.receiveStatements(d.clock.Now(), statements) })
 	}
 }
 
-// receiveStatements is ReceiveLimits on the control goroutine. Statements of endpoints that
+// receiveStatements is ReceiveLimits for callers that hold the lock. Statements of endpoints that
 // are not registered here are ignored.
 func (d *Dispatcher) receiveStatements(now time.Time, statements []throttler.Statement) {
 	for _, statement := range statements {
--- a/internal/dispatcher/pin.go
+++ b/internal/dispatcher/pin.go
@@ -41,7 +41,7 @@
 // PinStream keeps which version of a service began a stream, until the caller no longer waits
 // for the stream.
 func (d *Dispatcher) PinStream(pin pinner.Pin) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		if d.pinner.Record(d.clock.Now(), pin) {
 			d.onPin(pin, d.pinner.Holders(pin.StreamID))
 		}
@@ -50,12 +50,12 @@
 
 // ReceivePin keeps another instance's pin.
 func (d *Dispatcher) ReceivePin(pin pinner.Pin) {
-	d.runAndWait(func() { d.pinner.Record(d.clock.Now(), pin) })
+	d.withState(func() { d.pinner.Record(d.clock.Now(), pin) })
 }
 
 // LocalPin returns a stream's pin if this instance keeps it.
 func (d *Dispatcher) LocalPin(streamID uint64) (pin pinner.Pin, ok bool) {
-	d.runAndWait(func() { pin, ok = d.pinner.Find(d.clock.Now(), streamID) })
+	d.withState(func() { pin, ok = d.pinner.Find(d.clock.Now(), streamID) })
 
 	return pin, ok
 }
@@ -105,7 +105,7 @@
 // started knows none, so awaitHolders waits for some until ctx ends.
 func (d *Dispatcher) awaitHolders(ctx context.Context, streamID uint64) (holders []string) {
 	for {
-		d.runAndWait(func() { holders = d.pinner.Holders(streamID) })
+		d.withState(func() { holders = d.pinner.Holders(streamID) })
 		if len(holders) > 0 {
 			return holders
 		}
@@ -206,7 +206,7 @@
 	if !ok || err != nil {
 		return "", false, err
 	}
-	d.runAndWait(func() { version, ok = d.registry.OnlyVersion(d.clock.Now(), service) })
+	d.withState(func() { version, ok = d.registry.OnlyVersion(d.clock.Now(), service) })
 
 	return version, ok && version == recorded, nil
 }
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -34,7 +34,7 @@
 // the lease on API keys. The read that returned it was sent at the given time since
 // boot. A configuration with a lower number than the current one is ignored.
 func (d *Dispatcher) ApplyConfiguration(sentAt time.Duration, configuration *matcher.Matcher, stored StoredConfiguration) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		current := d.currentMatcher.Load()
 		if current != nil && configuration.Number() < current.Number() {
 			d.logger.Warn("Older configuration is ignored.", "number", configuration.Number(), "in force", current.Number())
@@ -68,7 +68,7 @@
 // the store. The read that returned the listing was sent at the given time since boot. A
 // listing that is older than the last one, or of an earlier epoch, is ignored.
 func (d *Dispatcher) ApplyListing(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		d.recordEpoch(epoch)
 		if d.registry.HasListing() && (epoch < d.listingEpoch || (epoch == d.listingEpoch && sentAt < d.listingReadAt)) {
 			return
@@ -91,7 +91,7 @@
 
 // IsListed reports whether the last listing has the same incarnation of an endpoint.
 func (d *Dispatcher) IsListed(endpoint registrar.Endpoint) (listed bool) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		listed = slices.ContainsFunc(d.listedEndpoints, func(known registrar.Endpoint) bool {
 			return known.ID == endpoint.ID && known.StartedUnixMs == endpoint.StartedUnixMs && known.Version == endpoint.Version
 		})
@@ -148,12 +148,12 @@
 // DataAges returns the times since the reads that last confirmed the configuration and the
 // endpoints were sent. They are negative where there is no data yet.
 func (d *Dispatcher) DataAges() (configuration, endpoints time.Duration) {
-	d.runAndWait(func() { configuration, endpoints = d.dataAges() })
+	d.withState(func() { configuration, endpoints = d.dataAges() })
 
 	return configuration, endpoints
 }
 
-// dataAges is DataAges on the control goroutine.
+// dataAges is DataAges for callers that hold the lock.
 func (d *Dispatcher) dataAges() (configuration, endpoints time.Duration) {
 	now := d.clock.SinceBoot()
 	configuration, endpoints = -1, -1
@@ -170,7 +170,7 @@
 // Snapshot returns the stored configuration and the listing of the endpoints, to be sent to
 // other instances.
 func (d *Dispatcher) Snapshot() (stored StoredConfiguration, registry RegistrySnapshot) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		stored = d.storedConfiguration
 		registry = RegistrySnapshot{Endpoints: d.listedEndpoints, Digest: d.listingDigest, Epoch: d.listingEpoch, HasListing: d.registry.HasListing()}
 	})
@@ -198,7 +198,7 @@
 func (d *Dispatcher) SetFleet(fleet Fleet) {
 	d.instanceCount.Store(int64(fleet.InstanceCount))
 	d.peerReaches.Store(&fleet.PeerReaches)
-	d.runAndWait(func() {
+	d.withState(func() {
 		d.repeatLimiter.SetInstanceCount(fleet.InstanceCount)
 		d.rank = fleet.Rank
 		if len(fleet.Members) > 0 {
@@ -220,7 +220,7 @@
 
 // Rank returns the number of live instances that come before this one.
 func (d *Dispatcher) Rank() (rank int) {
-	d.runAndWait(func() { rank = d.rank })
+	d.withState(func() { rank = d.rank })
 
 	return rank
 }
--- a/internal/dispatcher/poison.go
+++ b/internal/dispatcher/poison.go
@@ -9,8 +9,8 @@
 // maxSuspectsPerMessage is the number of suspects sent in one message to a peer.
 const maxSuspectsPerMessage = 32
 
-// HasSuspects reports whether any request is suspected of crashing endpoints. It does not
-// wait for the control goroutine.
+// HasSuspects reports whether any request is suspected of crashing endpoints. It takes
+// no lock.
 func (d *Dispatcher) HasSuspects() bool {
 	return d.hasSuspects.Load()
 }
@@ -18,7 +18,7 @@
 // IsQuarantined reports whether a request is in quarantine because it may crash endpoints, so
 // that it must not run now.
 func (d *Dispatcher) IsQuarantined(fingerprint uint64) (quarantined bool) {
-	d.runAndWait(func() { quarantined = d.quarantine.IsQuarantined(d.clock.Now(), fingerprint) })
+	d.withState(func() { quarantined = d.quarantine.IsQuarantined(d.clock.Now(), fingerprint) })
 
 	return quarantined
 }
@@ -26,7 +26,7 @@
 // RecordCompletion records that a request ran to completion, so that it is no longer a
 // suspect.
 func (d *Dispatcher) RecordCompletion(fingerprint uint64) {
-	d.runAndWait(func() { d.quarantine.RecordCompletion(d.clock.Now(), fingerprint) })
+	d.withState(func() { d.quarantine.RecordCompletion(d.clock.Now(), fingerprint) })
 }
 
 // suspectsToShare returns the suspects to send to peers.
--- a/internal/dispatcher/reach.go
+++ b/internal/dispatcher/reach.go
@@ -33,8 +33,8 @@
 	hasUnreachable bool     // some endpoint could not be reached since one of its service could
 }
 
-// IsCutOffFrom reports whether this instance reaches no endpoint of a service. It does not wait
-// for the control goroutine.
+// IsCutOffFrom reports whether this instance reaches no endpoint of a service. It takes
+// no lock.
 func (d *Dispatcher) IsCutOffFrom(service string) bool {
 	return slices.Contains(d.reach.Load().cutOffFrom, service)
 }
@@ -65,7 +65,7 @@
 // RecordUnreachable records that no connection to an endpoint of a service could be opened, or
 // that nothing came from it for long.
 func (d *Dispatcher) RecordUnreachable(service, endpoint string) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		d.reachOf(service).prober.RecordFailure(endpoint)
 		d.recordReach(service, "attempt")
 	})
@@ -74,7 +74,7 @@
 // SuspectOthers makes the reach to all other services uncertain, because the instance is cut off
 // from one. It returns their names.
 func (d *Dispatcher) SuspectOthers(service string) (others []string) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		for _, other := range d.registeredServices() {
 			if other != service && !d.reachOf(other).prober.IsCutOff() {
 				d.reachOf(other).prober.Suspect()
@@ -90,7 +90,7 @@
 // RecordConnected records that a connection to an endpoint of a service was opened.
 func (d *Dispatcher) RecordConnected(service string) {
 	if d.reach.Load().hasUnreachable {
-		d.runAndWait(func() {
+		d.withState(func() {
 			d.reachOf(service).prober.RecordSuccess()
 			d.recordReach(service, "attempt")
 		})
@@ -100,7 +100,7 @@
 // StartProbes returns the endpoints of a service to probe now; none if there is no reason to.
 // Pass them to EndProbes.
 func (d *Dispatcher) StartProbes(service string) (targets []ProbeTarget) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		addresses := map[string]string{}
 		var ids []string
 		for _, endpoint := range d.registry.Endpoints() {
@@ -119,7 +119,7 @@
 
 // EndProbes records whether one of the probed endpoints of a service accepted a connection.
 func (d *Dispatcher) EndProbes(service string, targets []ProbeTarget, succeeded bool) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		ids := make([]string, 0, len(targets))
 		for _, target := range targets {
 			ids = append(ids, target.EndpointID)
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -28,7 +28,7 @@
 // which are limited by the number of first attempts.
 func (d *Dispatcher) Place(ctx context.Context, request placer.Request, isFirstAttempt bool) (placement Placement, ok bool) {
 	var need *permitNeed
-	d.runAndWait(func() {
+	d.withState(func() {
 		if isFirstAttempt {
 			d.repeatLimiter.RecordFirstAttempt(d.clock.Now(), request.Service)
 		}
@@ -38,7 +38,7 @@
 		requested := need
 		reply, err := d.requestPermit(ctx, requested)
 		placement, need, ok = Placement{}, nil, false
-		d.runAndWait(func() {
+		d.withState(func() {
 			d.recordReply(request, requested, reply, err)
 			placement, need, ok = d.tryToPlace(request, requests < maxPermitRequests)
 		})
@@ -86,7 +86,7 @@
 
 // RecordFirstEvent records that the first event of an attempt's answer came.
 func (d *Dispatcher) RecordFirstEvent(placement Placement) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		d.placer.RecordFirstEvent(d.clock.Now(), placement.attemptID)
 		if placement.UncachedTokens >= minUncachedTokensToReport {
 			d.reportLoadChange(placement)
@@ -109,13 +109,13 @@
 
 // RecordActivity records that the placement's endpoint sent something.
 func (d *Dispatcher) RecordActivity(placement Placement) {
-	d.runAndWait(func() { d.placer.RecordActivity(d.clock.Now(), placement.attemptID) })
+	d.withState(func() { d.placer.RecordActivity(d.clock.Now(), placement.attemptID) })
 }
 
 // SinceLastActivity returns the time since the placement's endpoint last sent something,
 // on any request.
 func (d *Dispatcher) SinceLastActivity(placement Placement) (silence time.Duration) {
-	d.runAndWait(func() { silence = d.clock.Now().Sub(d.placer.LastActivity(placement.EndpointID)) })
+	d.withState(func() { silence = d.clock.Now().Sub(d.placer.LastActivity(placement.EndpointID)) })
 
 	return silence
 }
@@ -123,7 +123,7 @@
 // RecordResult records how the attempt ended. completedBlocks are the shared blocks of its
 // prompt if it ran to completion.
 func (d *Dispatcher) RecordResult(placement Placement, result placer.Result, completedBlocks []uint64) {
-	d.runAndWait(func() {
+	d.withState(func() {
 		d.recordCompletedBlocks(completedBlocks)
 		d.placer.RecordResult(d.clock.Now(), placement.attemptID, result)
 		d.reportLoadChange(placement)
@@ -138,7 +138,7 @@
 	if reason != retrier.ReasonNone || !wasSent {
 		return reason
 	}
-	d.runAndWait(func() {
+	d.withState(func() {
 		if !d.repeatLimiter.TakeRepeat(d.clock.Now(), service) {
 			reason = retrier.ReasonClassBudget
 		}
