gossiper, notifier: Exchange messages by datagram where they fit

Change: a peer that says so gets the message in a datagram, and answers in one; what does not fit in 1,200 bytes, the first exchange and one after a lost datagram are calls. What messages say of the fleet is built once a round (view). The rounds' second interval, which was the same, and the merging of lists go. Who lives: an entry has 4 bytes in place of 8, and messages name some of the newer half by chance.

--- a/internal/gossiper/cost_test.go
+++ b/internal/gossiper/cost_test.go
@@ -13,29 +13,33 @@
 
 // restCost is what an instance of a fleet at rest spends on messages in a second.
 type restCost struct {
-	exchanges, bytes float64
+	exchanges, calls, bytes float64
 }
 
 // measureRest returns the cost of a fleet at rest, once all instances know each other.
 func measureRest(t *testing.T, size int) (cost restCost) {
 	t.Helper()
 	const settled, measured = 8 * time.Second, 4 * time.Second
-	var exchanges atomic.Int64
+	var calls atomic.Int64
 	runFleet(t, size, func(t *testing.T, network *piper.Network, instances []testInstance, _ func() time.Duration) {
 		for n, i := range instances {
 			handler := i.gossiper.Handler()
 			network.Stop(instanceName(n))
 			network.Serve(instanceName(n), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				exchanges.Add(1)
+				calls.Add(1)
 				handler.ServeHTTP(w, r)
 			}))
 		}
 		time.Sleep(settled)
-		exchanges.Store(0)
-		bytesBefore := network.BytesSent()
+		datagrams := instances[0].datagrams
+		bytesSent := func() int64 { return network.BytesSent() + datagrams.bytesSent.Load() }
+		calls.Store(0)
+		datagramsBefore, bytesBefore := datagrams.sent.Load(), bytesSent()
 		time.Sleep(measured)
 		perInstance := float64(size) * measured.Seconds()
-		cost = restCost{float64(exchanges.Load()) / perInstance, float64(network.BytesSent()-bytesBefore) / perInstance}
+		cost.calls = float64(calls.Load()) / perInstance
+		cost.exchanges = cost.calls + float64(datagrams.sent.Load()-datagramsBefore)/2/perInstance
+		cost.bytes = float64(bytesSent()-bytesBefore) / perInstance
 		names := make([]string, 0, size)
 		for n := range instances {
 			names = append(names, instanceName(n))
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -34,9 +34,8 @@
 	Incarnation uint64
 	// Seeds are addresses of some peers. They may be out of date.
 	Seeds []string
-	// RoundInterval is the time between the starts of two rounds, and DividedRoundInterval that
-	// in a fleet that is divided by data centre.
-	RoundInterval, DividedRoundInterval time.Duration
+	// RoundInterval is the time between the starts of two rounds.
+	RoundInterval time.Duration
 	// Fanout limits the number of peers contacted in a round.
 	Fanout spreader.Fanout
 	// ExchangeTimeout limits the duration of one exchange, including a fetch after it.
@@ -47,7 +46,7 @@
 // seeds. The round interval keeps the peer loads in a small fleet younger than the
 // usual time to the first token of an answer.
 func DefaultSettings() Settings {
-	return Settings{RoundInterval: 100 * time.Millisecond, DividedRoundInterval: 100 * time.Millisecond, Fanout: spreader.Fanout{Min: 2, Max: 3}, ExchangeTimeout: 300 * time.Millisecond}
+	return Settings{RoundInterval: 100 * time.Millisecond, Fanout: spreader.Fanout{Min: 2, Max: 3}, ExchangeTimeout: 300 * time.Millisecond}
 }
 
 const (
@@ -91,15 +90,18 @@
 	meter      *meter.Meter
 	logger     hclog.Logger
 	handler    http.Handler
+	datagrams  DatagramSender // nil if exchanges are calls
 	done       chan struct{}
 
 	mu         sync.Mutex
 	peers      map[string]*peer     // by address
-	byHash     map[uint64]*peer     // by the hash of the address in messages
+	byHash     map[uint32]*peer     // by the hash of the address in messages; nil if several have it
 	summaryAt  map[string]time.Time // when the summary of a data centre's loads came or was asked for
-	heard      []uint64             // entries for live instances in messages; replaced each round
+	view       view                 // of the live peers
 	leaving    bool                 // sent in messages: this instance is about to stop
 	roundCount int
+	asked      map[uint32]askedExchange // by number
+	lastAsked  uint32
 }
 
 // peer holds what is known about another instance, or about an address at which
@@ -115,6 +117,9 @@
 	receivedAt    time.Time // when its last message arrived here
 	lastAttemptAt time.Time // when this instance last started an exchange with it
 	addedAt       time.Time
+	answersAsked  bool // it answers exchanges that come in datagrams
+	unanswered    int  // datagrams in a row that it has not answered
+	callsLeft     int  // exchanges to be calls before the next datagram
 	exchanging    bool // an exchange that this instance started with it is in progress
 	carriesLoads  bool // the reply to the exchange in progress carries loads
 	sharesEngines bool // and so does the message
@@ -137,8 +142,9 @@
 		logger:     logger,
 		done:       make(chan struct{}),
 		peers:      map[string]*peer{},
-		byHash:     map[uint64]*peer{},
+		byHash:     map[uint32]*peer{},
 		summaryAt:  map[string]time.Time{},
+		asked:      map[uint32]askedExchange{},
 	}
 	g.handler = gossipwire.NewGossipServer(&gossipServer{gossiper: g})
 	g.AddAddresses(settings.Seeds)
@@ -171,7 +177,8 @@
 			continue
 		}
 		added := &peer{address: address, addedAt: time.Now()}
-		g.peers[address], g.byHash[hashAddress(address)] = added, added
+		g.peers[address] = added
+		g.addHash(added)
 	}
 }
 
@@ -193,27 +200,15 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
+			g.forgetUnanswered(now)
 			for _, selected := range g.selectPeers(now) {
-				go g.exchangeWith(ctx, selected)
+				g.startExchange(ctx, selected)
 			}
-			g.updateHeard(now)
 			g.dispatcher.SetFleet(g.describeFleet(now))
-			ticker.Reset(g.roundInterval(now))
 		}
 	}
 }
 
-// roundInterval returns the time until the next round.
-func (g *Gossiper) roundInterval(now time.Time) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.roundCount > startupRounds && g.fleet(now).IsDivided() {
-		return g.settings.DividedRoundInterval
-	}
-
-	return g.settings.RoundInterval
-}
-
 // describeFleet returns the number of instances, including this one, the number of
 // those that come before it by name, are not leaving and sent a message within
 // their rankTimeout, whether the fleet is divided, its members, and which services
@@ -221,7 +216,7 @@
 func (g *Gossiper) describeFleet(now time.Time) dispatcher.Fleet {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	fleet := g.fleet(now)
+	fleet := g.viewAt(now).fleet
 	described := dispatcher.Fleet{InstanceCount: 1, IsDivided: fleet.IsDivided()}
 	if !g.leaving {
 		described.Members = append(described.Members, g.settings.Name)
@@ -257,7 +252,7 @@
 
 // exchangeInterval returns the usual time between two exchanges with a peer.
 func (g *Gossiper) exchangeInterval(fleet spreader.Fleet, p *peer) time.Duration {
-	return time.Duration(fleet.RoundsBetweenExchanges(g.settings.Fanout, g.isLocal(p))) * g.settings.DividedRoundInterval
+	return time.Duration(fleet.RoundsBetweenExchanges(g.settings.Fanout, g.isLocal(p))) * g.settings.RoundInterval
 }
 
 // rankTimeout returns the time since a peer's last message within which the peer counts in
@@ -266,13 +261,22 @@
 	return min(livenessTimeout, g.memberTimeout(fleet, p))
 }
 
-// exchangeWith sends a message to a peer and processes the answer. It then fetches
-// from the peer what the peer has in a newer version.
-func (g *Gossiper) exchangeWith(ctx context.Context, p *peer) {
+// startExchange begins an exchange with a peer: by datagram if the peer answers these and the
+// message fits.
+func (g *Gossiper) startExchange(ctx context.Context, p *peer) {
+	message := g.buildRequest(p)
+	if g.ask(ctx, p, message) {
+		return
+	}
+	go g.call(ctx, p, message)
+}
+
+// call sends a message to a peer in a call and processes the reply.
+func (g *Gossiper) call(ctx context.Context, p *peer, message *gossipwire.Message) {
 	ctx, cancel := context.WithTimeout(ctx, g.settings.ExchangeTimeout)
 	defer cancel()
-	sentSinceBoot, sentAt := g.dispatcher.SinceBoot(), time.Now()
-	reply, err := gossipwire.NewGossipProtobufClient("http://"+p.address, g.client).Exchange(ctx, g.buildRequest(p))
+	sent := g.timeOfSending()
+	reply, err := gossipwire.NewGossipProtobufClient("http://"+p.address, g.client).Exchange(ctx, message)
 	g.mu.Lock()
 	p.exchanging = false
 	g.mu.Unlock()
@@ -283,11 +287,29 @@
 		return
 	}
 	g.meter.Add("gossip.told", 1)
-	if g.receiveMessage(reply) {
-		g.dispatcher.ReceiveLimits(decodeLimits(sentAt, reply.GetLimits()))
-		g.dispatcher.ReceiveBrittleServices(decodeLimits(sentAt, reply.GetBrittle()))
-		g.fetchFromPeer(ctx, p.address, g.dispatcher.ReceiveVersions(sentSinceBoot, decodeMessage(reply).Versions))
+	g.fetchFromPeer(ctx, p.address, g.receiveReply(sent, reply))
+}
+
+// sendingTime is when a message was sent, by both clocks.
+type sendingTime struct {
+	sinceBoot time.Duration
+	at        time.Time
+}
+
+func (g *Gossiper) timeOfSending() sendingTime {
+	return sendingTime{g.dispatcher.SinceBoot(), time.Now()}
+}
+
+// receiveReply processes the reply to a message that was sent at the given time. It returns what
+// the peer has in a newer version.
+func (g *Gossiper) receiveReply(sent sendingTime, reply *gossipwire.Message) dispatcher.FetchPlan {
+	if !g.receiveMessage(reply) {
+		return dispatcher.FetchPlan{}
 	}
+	g.dispatcher.ReceiveLimits(decodeLimits(sent.at, reply.GetLimits()))
+	g.dispatcher.ReceiveBrittleServices(decodeLimits(sent.at, reply.GetBrittle()))
+
+	return g.dispatcher.ReceiveVersions(sent.sinceBoot, decodeVersions(reply))
 }
 
 // receiveMessage processes a peer's message. It reports false, and uses only the
@@ -331,6 +353,7 @@
 	}
 	p.name, p.dataCentre, p.lastMessageAt, p.receivedAt = message.GetName(), message.GetDataCentre(), now, now
 	p.incarnation, p.leaving, p.cutOffFrom = message.GetIncarnation(), message.GetLeaving(), message.GetCutOff()
+	p.answersAsked = message.GetDatagrams()
 
 	return true
 }
@@ -340,13 +363,9 @@
 	gossiper *Gossiper
 }
 
-// Exchange processes a peer's message and returns this instance's message. It holds
-// loads if the peer's does or asks for them.
+// Exchange processes a peer's message and returns this instance's message.
 func (s *gossipServer) Exchange(_ context.Context, message *gossipwire.Message) (*gossipwire.Message, error) {
 	s.gossiper.receiveMessage(message)
-	reply := s.gossiper.buildMessage(message.GetAddress(), int(message.GetKnown()), !message.GetBrief() || message.GetWantsLoads())
-	reply.Limits = encodeLimits(time.Now(), s.gossiper.dispatcher.Limits())
-	reply.Brittle = encodeLimits(time.Now(), s.gossiper.dispatcher.BrittleServices())
 
-	return reply, nil
+	return s.gossiper.buildReply(message), nil
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -38,6 +38,7 @@
 type testInstance struct {
 	dispatcher *dispatcher.Dispatcher
 	gossiper   *gossiper.Gossiper
+	datagrams  *datagramNetwork // of the whole fleet
 	stop       context.CancelFunc
 }
 
@@ -75,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		startedAt := time.Now()
 		sinceBoot := func() time.Duration { return time.Since(startedAt) + time.Hour }
-		network := piper.New()
+		network, datagrams := piper.New(), newDatagramNetwork(transit)
 		instances := make([]testInstance, 0, count)
 		for i := range count {
 			name := instanceName(i)
@@ -89,11 +90,12 @@
 			settings.Seeds = []string{"i0:80", "gone:80"}
 			g := gossiper.New(settings, d, decimalDecoder{}, network.Client(), meter.New(), hclog.NewNullLogger())
 			d.SetPermitSource(g)
+			datagrams.add(name+":80", g)
 			network.Serve(name, delay(g.Handler(), transit))
 			ctx, cancel := context.WithCancel(context.Background())
 			go func() { _ = d.Serve(ctx) }()
 			go func() { _ = g.Serve(ctx) }()
-			instances = append(instances, testInstance{d, g, cancel})
+			instances = append(instances, testInstance{d, g, datagrams, cancel})
 		}
 		defer func() {
 			for _, i := range instances {
--- a/internal/gossiper/heard.go
+++ b/internal/gossiper/heard.go
@@ -2,55 +2,67 @@
 
 import (
 	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/oleanderpick/oleanderpick/pkg/spreader"
 )
 
 const (
 	// heardDivisor sets the number of instances that a message says to live: one in so many of
-	// those that are known, and maxHeard at the most. An instance gets about so many messages in
-	// a round.
-	heardDivisor = 6
-	maxHeard     = 32
+	// those that are known, within the limits. An instance gets about so many messages in a round.
+	heardDivisor       = 4
+	minHeard, maxHeard = 8, 32
 	// heardUnit is the unit of the time since an instance's last message.
-	heardUnit = 20 * time.Millisecond
+	heardUnit = 16 * time.Millisecond
 	// leavingBit and ageMask are the parts of an entry below the hash of the address.
-	leavingBit = 1 << 15
+	leavingBit = 1 << 8
 	ageMask    = leavingBit - 1
 )
 
-// hashAddress returns the hash of an address in messages: 48 bits, shifted to the upper end.
-func hashAddress(address string) uint64 {
-	hash := fnv.New64a()
+// hashAddress returns the hash of an address in messages: 23 bits, at the upper end.
+func hashAddress(address string) uint32 {
+	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(address))
 
-	return hash.Sum64() &^ (leavingBit | ageMask)
+	return hash.Sum32() &^ (leavingBit | ageMask)
 }
 
-// updateHeard builds what the messages of the next round say of other instances: those of which
-// the newest is known. In a small fleet all instances hear each other often, and it is empty.
-func (g *Gossiper) updateHeard(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.heard = nil
-	if !g.fleet(now).IsDivided() {
-		return
+// addHash makes a peer known by the hash of its address. Peers with the same hash are not known by
+// it: nothing that others say of one may count for another.
+func (g *Gossiper) addHash(p *peer) {
+	hash := hashAddress(p.address)
+	if _, ok := g.byHash[hash]; ok {
+		p = nil
 	}
-	live := make([]*peer, 0, len(g.peers))
-	for _, p := range g.peers {
-		if p.name != "" && now.Sub(p.lastMessageAt) < livenessTimeout {
-			live = append(live, p)
-		}
+	g.byHash[hash] = p
+}
+
+// selectHeard returns what messages say of other instances: some by chance of the half of which the
+// newest is known. Were it just the newest, those that an instance hears in every round would leave
+// no room for others. In a small fleet all instances hear each other often, and it is empty. The
+// caller holds the lock.
+func (g *Gossiper) selectHeard(now time.Time, fleet spreader.Fleet, live []*peer) []uint32 {
+	if !fleet.IsDivided() {
+		return nil
 	}
+	live = slices.DeleteFunc(live, func(p *peer) bool { return p.name == "" })
+	count := min(maxHeard, max(minHeard, len(live)/heardDivisor), (len(live)+1)/2)
 	slices.SortFunc(live, func(a, b *peer) int { return b.lastMessageAt.Compare(a.lastMessageAt) })
-	for _, p := range live[:min(maxHeard, len(live)/heardDivisor)] {
-		g.heard = append(g.heard, encodeHeard(p, now.Sub(p.lastMessageAt)+g.settings.DividedRoundInterval))
+	newest := live[:(len(live)+1)/2]
+	rand.Shuffle(len(newest), func(i, j int) { newest[i], newest[j] = newest[j], newest[i] })
+	heard := make([]uint32, 0, count)
+	for _, p := range newest[:count] {
+		heard = append(heard, encodeHeard(p, now.Sub(p.lastMessageAt)+g.settings.RoundInterval))
 	}
+
+	return heard
 }
 
 // encodeHeard returns the entry of a peer whose last message is of the given age.
-func encodeHeard(p *peer, age time.Duration) uint64 {
-	entry := hashAddress(p.address) | uint64(min(age/heardUnit, ageMask))
+func encodeHeard(p *peer, age time.Duration) uint32 {
+	entry := hashAddress(p.address) | uint32(min((age+heardUnit-1)/heardUnit, ageMask))
 	if p.leaving {
 		entry |= leavingBit
 	}
@@ -59,8 +71,8 @@
 }
 
 // recordHeard records what a peer says of other instances. An age is that at the end of the
-// sender's round, so that an instance never seems to live longer than it does.
-func (g *Gossiper) recordHeard(now time.Time, heard []uint64) {
+// sender's view, so that an instance never seems to live longer than it does.
+func (g *Gossiper) recordHeard(now time.Time, heard []uint32) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, entry := range heard {
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -19,6 +19,16 @@
 	return message
 }
 
+// buildReply returns the message that answers one. It holds loads if that one does or asks for
+// them.
+func (g *Gossiper) buildReply(message *gossipwire.Message) *gossipwire.Message {
+	reply := g.buildMessage(message.GetAddress(), int(message.GetKnown()), !message.GetBrief() || message.GetWantsLoads())
+	reply.Limits = encodeLimits(time.Now(), g.dispatcher.Limits())
+	reply.Brittle = encodeLimits(time.Now(), g.dispatcher.BrittleServices())
+
+	return reply
+}
+
 // allKnown is the number of addresses known to the recipient of a message that lists none.
 const allKnown = maxPeers
 
@@ -28,11 +38,10 @@
 // centre if the recipient does not share its engines.
 func (g *Gossiper) buildMessage(recipient string, recipientAddressCount int, includeLoads bool) *gossipwire.Message {
 	now := time.Now()
-	addresses := g.Addresses()
 	g.mu.Lock()
-	leaving, heard := g.leaving, g.heard
+	leaving, known := g.leaving, g.viewAt(now)
 	p := g.peers[recipient]
-	sharesEngines := g.fleet(now).SharesEngines(p != nil && g.isLocal(p))
+	sharesEngines := known.fleet.SharesEngines(p != nil && g.isLocal(p))
 	g.mu.Unlock()
 	scope := dispatcher.NoLoads
 	switch {
@@ -49,11 +58,12 @@
 		Incarnation: g.settings.Incarnation,
 		Leaving:     leaving,
 		CutOff:      g.dispatcher.CutOffFrom(),
-		Known:       uint32(len(addresses)),
+		Known:       uint32(len(known.live)),
 		Brief:       !includeLoads,
 		DataCentre:  g.settings.DataCentre,
 		Summary:     !sharesEngines,
-		Heard:       heard,
+		Heard:       known.heard,
+		Datagrams:   g.datagrams != nil,
 
 		Number:         state.Versions.ConfigurationNumber,
 		AgeMs:          toMilliseconds(state.Versions.ConfigurationAge),
@@ -61,8 +71,8 @@
 		EndpointsAgeMs: toMilliseconds(state.Versions.EndpointsAge),
 		EndpointsEpoch: state.Versions.EndpointsEpoch,
 	}
-	if isMissingMembers(recipientAddressCount, len(addresses)) {
-		message.Members = addresses
+	if isMissingMembers(recipientAddressCount, len(known.live)) {
+		message.Members = known.live
 	}
 	if includeLoads {
 		addLoads(message, state)
@@ -201,13 +211,17 @@
 	}
 	decoded.Blocks = blockencoder.Decode(now, message.GetBlocks())
 	decoded.Rejections = DecodeRejections(now, message.GetRejections())
-	decoded.Versions = dispatcher.Versions{
+
+	return decoded
+}
+
+// decodeVersions returns the versions of a peer's message.
+func decodeVersions(message *gossipwire.Message) dispatcher.Versions {
+	return dispatcher.Versions{
 		ConfigurationNumber: message.GetNumber(),
 		ConfigurationAge:    time.Duration(message.GetAgeMs()) * time.Millisecond,
 		EndpointsDigest:     message.GetDigest(),
 		EndpointsAge:        time.Duration(message.GetEndpointsAgeMs()) * time.Millisecond,
 		EndpointsEpoch:      message.GetEndpointsEpoch(),
 	}
-
-	return decoded
 }
--- a/internal/gossiper/selection.go
+++ b/internal/gossiper/selection.go
@@ -15,6 +15,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.roundCount++
+	g.view = g.buildView(now)
 	var due []*peer
 	for address, p := range g.peers {
 		silence := now.Sub(p.lastMessageAt)
@@ -36,9 +37,9 @@
 
 		return strings.Compare(a.address, b.address)
 	})
-	fleet := g.fleet(now)
+	fleet := g.viewAt(now).fleet
 	if fleet.IsDivided() || g.roundCount > startupRounds {
-		due = appendMissing(g.selectInRound(fleet, due, g.parent(fleet, now)), g.unheard(due))
+		due = g.selectInRound(fleet, due, g.parent(fleet, now))
 	}
 	for _, p := range due {
 		p.exchanging, p.lastAttemptAt = true, now
@@ -52,41 +53,28 @@
 	return due
 }
 
-// selectInRound returns the peers of those that are due that are contacted in this round.
+// selectInRound returns the peers of those that are due that are contacted in this round. In the
+// rounds after the start, these include some that this instance has not contacted and that have
+// not contacted it.
 func (g *Gossiper) selectInRound(fleet spreader.Fleet, due []*peer, parent *peer) []*peer {
 	selected := spreader.SelectPeers(fleet, g.settings.Fanout, moveToFront(due, parent), g.isLocal)
-	if !fleet.IsLocalRound(g.roundCount) {
-		return selected
+	if fleet.IsLocalRound(g.roundCount) {
+		selected = slices.DeleteFunc(selected, func(p *peer) bool { return !g.isLocal(p) && p != parent })
 	}
-
-	return slices.DeleteFunc(selected, func(p *peer) bool { return !g.isLocal(p) && p != parent })
-}
-
-// unheard returns the peers to contact in a round after the start beside those that are selected
-// in every round: those that this instance has not contacted and that have not contacted it.
-func (g *Gossiper) unheard(due []*peer) []*peer {
 	if g.roundCount > startupRounds {
-		return nil
+		return selected
 	}
-	var unheard []*peer
+	unheard := 0
 	for _, p := range due {
-		if p.name == "" && p.lastAttemptAt.IsZero() && len(unheard) < maxStartupContacts {
-			unheard = append(unheard, p)
+		if p.name == "" && p.lastAttemptAt.IsZero() && unheard < maxStartupContacts {
+			unheard++
+			if !slices.Contains(selected, p) {
+				selected = append(selected, p)
+			}
 		}
 	}
 
-	return unheard
-}
-
-// appendMissing appends those of more that peers does not contain.
-func appendMissing(peers, more []*peer) []*peer {
-	for _, p := range more {
-		if !slices.Contains(peers, p) {
-			peers = append(peers, p)
-		}
-	}
-
-	return peers
+	return selected
 }
 
 // moveToFront returns the peers with one of them first, if it is among them.
@@ -127,54 +115,6 @@
 	return locals[index]
 }
 
-// fleet returns the numbers of peers that sent a message within livenessTimeout, or that
-// were added within it and have not sent one yet. The caller holds the lock.
-func (g *Gossiper) fleet(now time.Time) spreader.Fleet {
-	var fleet spreader.Fleet
-	for _, p := range g.peers {
-		if now.Sub(p.lastMessageAt) >= livenessTimeout && (p.name != "" || now.Sub(p.addedAt) >= livenessTimeout) {
-			continue
-		}
-		fleet.Peers++
-		if g.isLocal(p) {
-			fleet.LocalPeers++
-		}
-	}
-
-	return fleet
-}
-
-// UpdateAddresses returns the addresses of the live peers that get load updates at once.
-func (g *Gossiper) UpdateAddresses() []string {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	fleet := g.fleet(now)
-	var addresses []string
-	for address, p := range g.peers {
-		if now.Sub(p.lastMessageAt) < livenessTimeout && fleet.SharesEngines(g.isLocal(p)) {
-			addresses = append(addresses, address)
-		}
-	}
-
-	return addresses
-}
-
-// Addresses returns the addresses of the peers that live, as far as is known.
-func (g *Gossiper) Addresses() []string {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	live := make([]string, 0, len(g.peers))
-	for address, p := range g.peers {
-		if now.Sub(p.lastMessageAt) < livenessTimeout {
-			live = append(live, address)
-		}
-	}
-
-	return live
-}
-
 // isMissingMembers reports whether a peer that knows some number of live instances is told the
 // addresses of those that this instance knows. In a large fleet the numbers differ a little at any
 // time.
--- /dev/null
+++ b/internal/gossiper/view.go
@@ -0,0 +1,72 @@
+package gossiper
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderpick/oleanderpick/pkg/spreader"
+)
+
+// view is what an instance knows of the live peers at a time. It is built once a round and not for
+// each message, because that work grows with the fleet. It does not change.
+type view struct {
+	builtAt time.Time
+	fleet   spreader.Fleet
+	live    []string // addresses of the peers that sent a message within livenessTimeout
+	updated []string // those of them that get load updates at once
+	heard   []uint32 // entries for live instances in messages
+}
+
+// viewAt returns the view of this round. The caller holds the lock.
+func (g *Gossiper) viewAt(now time.Time) view {
+	if now.Sub(g.view.builtAt) >= g.settings.RoundInterval {
+		g.view = g.buildView(now)
+	}
+
+	return g.view
+}
+
+// buildView returns the view at a time. Peers that were added within livenessTimeout and have not
+// sent a message yet count in the size of the fleet.
+func (g *Gossiper) buildView(now time.Time) view {
+	built := view{builtAt: now}
+	var live []*peer
+	for _, p := range g.peers {
+		isLive := now.Sub(p.lastMessageAt) < livenessTimeout
+		if !isLive && (p.name != "" || now.Sub(p.addedAt) >= livenessTimeout) {
+			continue
+		}
+		built.fleet.Peers++
+		if g.isLocal(p) {
+			built.fleet.LocalPeers++
+		}
+		if isLive {
+			live = append(live, p)
+		}
+	}
+	for _, p := range live {
+		built.live = append(built.live, p.address)
+		if built.fleet.SharesEngines(g.isLocal(p)) {
+			built.updated = append(built.updated, p.address)
+		}
+	}
+	built.heard = g.selectHeard(now, built.fleet, live)
+
+	return built
+}
+
+// UpdateAddresses returns the addresses of the live peers that get load updates at once.
+func (g *Gossiper) UpdateAddresses() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.viewAt(time.Now()).updated
+}
+
+// Addresses returns the addresses of the peers that live, as far as is known.
+func (g *Gossiper) Addresses() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return slices.Clone(g.viewAt(time.Now()).live)
+}
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -1,6 +1,6 @@
 // Package notifier sends datagrams to other instances: load updates, with the sender's
 // current load at one engine, at once when a prompt goes to the engine, when its prefill ends
-// and when its answer ends; and the pins of streams that begin.
+// and when its answer ends; the pins of streams that begin; and the gossiper's messages that fit.
 //
 // The gossiper's messages contain all loads, but are exchanged only a few times a second.
 // Between two messages, several instances could choose the same engine because it looks
@@ -31,8 +31,8 @@
 	// maxQueuedUpdates is the number of messages that wait to be sent. Further ones are
 	// dropped and counted.
 	maxQueuedUpdates = 64
-	// maxDatagramBytes is the size of the largest datagram that can be received. It consists
-	// of a few names and numbers.
+	// maxDatagramBytes is the size of the largest datagram that is sent or received. It fits in
+	// one packet of any usual network.
 	maxDatagramBytes = 1200
 	// readRetryDelay is the time between a failed read of the socket and the next one.
 	readRetryDelay = 100 * time.Millisecond
@@ -46,7 +46,12 @@
 	AddressesOf(names []string) []string
 }
 
-// Receiver uses the datagrams that peers send.
+// Exchanger uses the gossip messages that peers send in datagrams.
+type Exchanger interface {
+	ReceiveDatagram(message *gossipwire.Message)
+}
+
+// Receiver uses the other datagrams that peers send.
 type Receiver interface {
 	// ReceiveLoadUpdate replaces a peer's load at one endpoint.
 	ReceiveLoadUpdate(peer, endpoint string, load placer.Load)
@@ -62,6 +67,7 @@
 	port         uint16
 	conn         net.PacketConn
 	recipients   RecipientList
+	exchanger    Exchanger
 	receiver     Receiver
 	counters     *meter.Meter
 	logger       hclog.Logger
@@ -77,11 +83,11 @@
 }
 
 // New returns a notifier for the named instance. It receives load updates on conn and
-// passes them to receiver. All instances must listen on the same port. counters count the
-// updates that are dropped, not sent or unreadable.
-func New(instanceName string, port uint16, conn net.PacketConn, recipients RecipientList, receiver Receiver, counters *meter.Meter, logger hclog.Logger) *Notifier {
+// passes them to receiver, and gossip messages to exchanger. All instances must listen on the
+// same port. counters count the updates that are dropped, not sent or unreadable.
+func New(instanceName string, port uint16, conn net.PacketConn, recipients RecipientList, exchanger Exchanger, receiver Receiver, counters *meter.Meter, logger hclog.Logger) *Notifier {
 	return &Notifier{
-		instanceName: instanceName, port: port, conn: conn, recipients: recipients, receiver: receiver, counters: counters, logger: logger,
+		instanceName: instanceName, port: port, conn: conn, recipients: recipients, exchanger: exchanger, receiver: receiver, counters: counters, logger: logger,
 		queue: make(chan queuedMessage, maxQueuedUpdates), done: make(chan struct{}),
 	}
 }
@@ -163,14 +169,37 @@
 		return
 	}
 	for _, peerAddress := range peerAddresses {
-		target, err := n.updateAddress(peerAddress)
-		if err == nil {
-			_, err = n.conn.WriteTo(datagram, target)
-		}
-		if err != nil {
-			n.counters.Add("notes.failed", 1)
-		}
+		n.write(datagram, peerAddress)
+	}
+}
+
+// SendMessage sends a gossip message to the peer with an address. It reports false if the message
+// does not fit in a datagram or cannot be sent. It implements gossiper.DatagramSender.
+func (n *Notifier) SendMessage(peerAddress string, message *gossipwire.Message) bool {
+	if proto.Size(message) > maxDatagramBytes {
+		return false
+	}
+	datagram, err := proto.Marshal(message)
+	if err != nil {
+		n.logger.Error("A message cannot be encoded.", "error", err)
+
+		return false
+	}
+
+	return n.write(datagram, peerAddress)
+}
+
+// write sends a datagram to the peer with an address. It reports false if it cannot be sent.
+func (n *Notifier) write(datagram []byte, peerAddress string) bool {
+	target, err := n.updateAddress(peerAddress)
+	if err == nil {
+		_, err = n.conn.WriteTo(datagram, target)
+	}
+	if err != nil {
+		n.counters.Add("notes.failed", 1)
 	}
+
+	return err == nil
 }
 
 // updateAddress returns the address at which a peer receives datagrams: the host of its
@@ -203,12 +232,22 @@
 
 			continue
 		}
-		for _, load := range message.GetLoads() {
-			n.receiver.ReceiveLoadUpdate(message.GetName(), load.GetEndpoint(), gossiper.DecodeLoad(load))
-		}
-		n.receiver.ReceiveRejections(gossiper.DecodeRejections(time.Now(), message.GetRejections()))
-		if message.GetPin() != nil {
-			n.receiver.ReceivePin(gossiper.DecodePin(time.Now(), message.GetPin()))
-		}
+		n.deliver(&message)
+	}
+}
+
+// deliver passes a datagram on to the part that uses it.
+func (n *Notifier) deliver(message *gossipwire.Message) {
+	if message.GetAsks() != 0 || message.GetAnswers() != 0 {
+		n.exchanger.ReceiveDatagram(message)
+
+		return
+	}
+	for _, load := range message.GetLoads() {
+		n.receiver.ReceiveLoadUpdate(message.GetName(), load.GetEndpoint(), gossiper.DecodeLoad(load))
+	}
+	n.receiver.ReceiveRejections(gossiper.DecodeRejections(time.Now(), message.GetRejections()))
+	if message.GetPin() != nil {
+		n.receiver.ReceivePin(gossiper.DecodePin(time.Now(), message.GetPin()))
 	}
 }
--- a/internal/notifier/notifier_test.go
+++ b/internal/notifier/notifier_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
 	"github.com/oleanderpick/oleanderpick/internal/notifier"
 	"github.com/oleanderpick/oleanderpick/pkg/pinner"
@@ -78,6 +79,13 @@
 	mu          sync.Mutex
 	latestLoads map[string]placer.Load
 	pins        []pinner.Pin
+	messages    []*gossipwire.Message
+}
+
+func (r *loadRecorder) ReceiveDatagram(message *gossipwire.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.messages = append(r.messages, message)
 }
 
 func (r *loadRecorder) ReceiveRejections([]dispatcher.Rejection) {}
@@ -103,7 +111,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		start := func(name, address string) (*notifier.Notifier, *loadRecorder) {
 			recorder := &loadRecorder{latestLoads: map[string]placer.Load{}}
-			n := notifier.New(name, 7200, network.listen(address), recipients, recorder, meter.New(), hclog.NewNullLogger())
+			n := notifier.New(name, 7200, network.listen(address), recipients, recorder, recorder, meter.New(), hclog.NewNullLogger())
 			go func() { _ = n.Serve(ctx) }()
 
 			return n, recorder
@@ -129,6 +137,14 @@
 		synctest.Wait()
 		assert.Equal(t, len(recorderB.pins), 0)
 		assert.DeepEqual(t, recorderC.pins, []pinner.Pin{pin})
+
+		// The loads of an exchange are not taken for load updates.
+		exchange := &gossipwire.Message{Name: "a", Asks: 1, Loads: []*gossipwire.Load{{Endpoint: "e2", Running: 1}}}
+		assert.Assert(t, sender.SendMessage("10.0.0.2:80", exchange))
+		assert.Assert(t, !sender.SendMessage("10.0.0.2:80", &gossipwire.Message{Members: make([]string, 1000)}), "too large")
+		synctest.Wait()
+		assert.Equal(t, len(recorderB.messages), 1)
+		assert.Equal(t, recorderB.latestLoads["a at e2"], placer.Load{})
 		cancel()
 		<-sender.Done()
 		<-notifierB.Done()
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -367,7 +367,8 @@
 	if err != nil {
 		return errors.Wrapf(err, "setting -note-port: value %d", r.settings.LoadUpdatePort)
 	}
-	loadNotifier := notifier.New(r.settings.Name, uint16(r.settings.LoadUpdatePort), conn, r.gossiper, r.dispatcher, r.counters, r.logger.Named("notifier"))
+	loadNotifier := notifier.New(r.settings.Name, uint16(r.settings.LoadUpdatePort), conn, r.gossiper, r.gossiper, r.dispatcher, r.counters, r.logger.Named("notifier"))
+	r.gossiper.UseDatagrams(loadNotifier)
 	r.dispatcher.OnLoadChange(loadNotifier.QueueUpdate)
 	r.dispatcher.OnPin(loadNotifier.QueuePin)
 	r.dispatcher.OnRejection(loadNotifier.QueueRejection)
