announcer: Let only the first instances list the others while peers live

Change: an instance lists 0.5 s after its registration if no peer has answered by then, and later only if it has no live peers or is one of the first two. Two fleets that do not know each other still find each other: both have a first instance that lists.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -24,6 +24,14 @@
 	List(ctx context.Context, kind, after string, limit int) (storer.Page, error)
 }
 
+// Fleet is what the announcer knows of the other instances from their messages.
+type Fleet interface {
+	// Addresses returns the addresses of the peers that live.
+	Addresses() []string
+	// Rank returns the number of live instances that come before this one.
+	Rank() int
+}
+
 // Settings holds the entry of this instance and the intervals of an Announcer.
 type Settings struct {
 	// Kind is the kind of the instances' entries. Name and Address are those of this
@@ -31,6 +39,9 @@
 	Kind, Name, Address string
 	// RetryDelay is the time after which a failed call is repeated.
 	RetryDelay time.Duration
+	// FirstListDelay is the time after the registration from which an instance without live peers
+	// lists the instances.
+	FirstListDelay time.Duration
 	// ListInterval is the time between two listings of the instances.
 	ListInterval time.Duration
 }
@@ -38,10 +49,15 @@
 // Default values of the settings. They are long, because instances mostly find each
 // other through the seeds and through gossip.
 const (
-	DefaultRetryDelay   = 3 * time.Second
-	DefaultListInterval = 30 * time.Second
+	DefaultRetryDelay     = 3 * time.Second
+	DefaultFirstListDelay = 500 * time.Millisecond
+	DefaultListInterval   = 30 * time.Second
 )
 
+// listerCount is the number of instances that list the others while they have live peers. The peers
+// learn from them.
+const listerCount = 2
+
 // entry is the spec of the object that registers an instance.
 type entry struct {
 	Address string `json:"address"`
@@ -51,6 +67,7 @@
 type Announcer struct {
 	settings     Settings
 	store        Store
+	fleet        Fleet
 	addAddresses func(addresses []string)
 	logger       hclog.Logger
 	done         chan struct{}
@@ -59,8 +76,8 @@
 
 // New returns an Announcer that passes the addresses of the listed peers to
 // addAddresses. Serve runs it.
-func New(settings Settings, store Store, addAddresses func(addresses []string), logger hclog.Logger) *Announcer {
-	return &Announcer{settings: settings, store: store, addAddresses: addAddresses, logger: logger, done: make(chan struct{})}
+func New(settings Settings, store Store, fleet Fleet, addAddresses func(addresses []string), logger hclog.Logger) *Announcer {
+	return &Announcer{settings: settings, store: store, fleet: fleet, addAddresses: addAddresses, logger: logger, done: make(chan struct{})}
 }
 
 // String returns the name under which the supervisor logs this service.
@@ -73,18 +90,20 @@
 	return a.done
 }
 
-// Serve registers this instance and then lists the others at intervals until ctx ends. If
-// a listing lacks this instance, because the store came back from an older copy, it
-// registers again.
+// Serve registers this instance and then lists the others at intervals until ctx ends, if it is
+// one of the first or has no live peers. If a listing lacks this instance, because the store came
+// back from an older copy, it registers again.
 func (a *Announcer) Serve(ctx context.Context) error {
 	defer close(a.done)
 	a.retryUntilSuccess(ctx, "register", a.register)
-	for ctx.Err() == nil {
+	sleep(ctx, a.settings.FirstListDelay)
+	if len(a.fleet.Addresses()) == 0 {
 		a.retryUntilSuccess(ctx, "list", a.listInstances)
-		if !a.isListed && ctx.Err() == nil {
-			sleep(ctx, a.reregistrationDelay())
-			a.logger.Warn("The registration of this instance was lost and is written again.", "instance", a.settings.Name)
-			a.retryUntilSuccess(ctx, "register", a.register)
+	}
+	sleep(ctx, a.settings.RetryDelay) // Until then the rank is not known for sure.
+	for ctx.Err() == nil {
+		if len(a.fleet.Addresses()) == 0 || a.fleet.Rank() < listerCount {
+			a.update(ctx)
 		}
 		sleep(ctx, a.settings.ListInterval)
 	}
@@ -92,6 +111,17 @@
 	return ctx.Err()
 }
 
+// update lists the instances, and registers this one again if the listing lacks it.
+func (a *Announcer) update(ctx context.Context) {
+	a.retryUntilSuccess(ctx, "list", a.listInstances)
+	if a.isListed || ctx.Err() != nil {
+		return
+	}
+	sleep(ctx, a.reregistrationDelay())
+	a.logger.Warn("The registration of this instance was lost and is written again.", "instance", a.settings.Name)
+	a.retryUntilSuccess(ctx, "register", a.register)
+}
+
 // reregistrationDelay returns a part of the retry delay that differs between instances, so
 // that not all of them write at once.
 func (a *Announcer) reregistrationDelay() time.Duration {
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -43,14 +43,29 @@
 	})
 }
 
-// start starts the announcer of an instance and returns a function that stops it.
+// fixedFleet is what an announcer knows of its peers.
+type fixedFleet struct {
+	addresses []string
+	rank      int
+}
+
+func (f fixedFleet) Addresses() []string { return f.addresses }
+
+func (f fixedFleet) Rank() int { return f.rank }
+
+// start starts the announcer of an instance without peers and returns a function that stops it.
 func (h *harness) start(name, address string) (stop func()) {
+	return h.startIn(fixedFleet{}, name, address)
+}
+
+// startIn starts the announcer of an instance of a fleet.
+func (h *harness) startIn(fleet fixedFleet, name, address string) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	settings := announcer.Settings{
 		Kind: instanceKind, Name: name, Address: address,
-		RetryDelay: announcer.DefaultRetryDelay, ListInterval: announcer.DefaultListInterval,
+		RetryDelay: announcer.DefaultRetryDelay, FirstListDelay: announcer.DefaultFirstListDelay, ListInterval: announcer.DefaultListInterval,
 	}
-	a := announcer.New(settings, storer.New("http://store", h.client), func(addresses []string) {
+	a := announcer.New(settings, storer.New("http://store", h.client), fleet, func(addresses []string) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.foundAddresses[name] = addresses
@@ -109,3 +124,27 @@
 		stop()
 	})
 }
+
+// Guards against a large fleet in which each instance lists all others: at 195 instances some six
+// pages each at the start, and as many every 30 seconds.
+func TestOnlyFirstInstancesListTheOthersWhilePeersLive(t *testing.T) {
+	for name, test := range map[string]struct {
+		fleet     fixedFleet
+		wantLists int
+	}{
+		"first":       {fixedFleet{[]string{"b:1"}, 1}, 4},
+		"later":       {fixedFleet{[]string{"b:1"}, 2}, 0},
+		"without any": {fixedFleet{nil, 2}, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithPlatform(t, func(h *harness) {
+				stop := h.startIn(test.fleet, "a", "a:1")
+				time.Sleep(100 * time.Second)
+				_, found := h.platform.Object(instanceKind, "a")
+				stop()
+				assert.Assert(t, found)
+				assert.Equal(t, h.platform.Audit()["GET "+instanceKind], test.wantLists)
+			})
+		})
+	}
+}
--- a/internal/gossiper/view.go
+++ b/internal/gossiper/view.go
@@ -70,3 +70,8 @@
 
 	return slices.Clone(g.viewAt(time.Now()).live)
 }
+
+// Rank returns the number of live instances that come before this one by name.
+func (g *Gossiper) Rank() int {
+	return g.dispatcher.Rank()
+}
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -172,8 +172,8 @@
 	r.peerServer = &http.Server{Handler: r.newPeerHandler(), ReadHeaderTimeout: requestHeaderTimeout, IdleTimeout: peerIdleTimeout}
 	instanceAnnouncer := announcer.New(announcer.Settings{
 		Kind: platform.Decoder.InstanceKind(), Name: settings.Name, Address: settings.PeerListen,
-		RetryDelay: announcer.DefaultRetryDelay, ListInterval: announcer.DefaultListInterval,
-	}, store, r.gossiper.AddAddresses, logger.Named("announcer"))
+		RetryDelay: announcer.DefaultRetryDelay, FirstListDelay: announcer.DefaultFirstListDelay, ListInterval: announcer.DefaultListInterval,
+	}, store, r.gossiper, r.gossiper.AddAddresses, logger.Named("announcer"))
 	blockArchiver := archiver.New(archiver.Settings{
 		Kind: platform.Decoder.QuarantineKind(), CheckInterval: archiver.DefaultCheckInterval, RewriteInterval: archiver.DefaultRewriteInterval,
 	}, store, r.dispatcher, logger.Named("archiver"))
