gossiper: Begin exchanges with unknown peers by datagram too

Cause: in the second after the start each of 195 instances called each other one, 38,000 calls with a connection each; and a peer that lacked more than an eighth of the members got lists that do not fit in a datagram. Change: a peer that has not sent a message is taken to answer datagrams if a live one does; an answer that does not fit lists 24 members by chance; a peer that knows fewer gets four. Which instances a message names is drawn with two tries each in place of sorting; whether a peer is local is kept with it.

--- a/internal/gossiper/datagram.go
+++ b/internal/gossiper/datagram.go
@@ -18,6 +18,10 @@
 	// maxUnansweredShift limits how many exchanges with a peer are calls after it has not answered
 	// datagrams: one after the first, and twice as many and one more after each further one.
 	maxUnansweredShift = 4
+	// maxDatagramMembers limits the addresses of members in an answer that does not fit in a
+	// datagram with all of them, and maxFewMembers those for a peer that knows nearly all.
+	maxDatagramMembers = 24
+	maxFewMembers      = 4
 	// callsAfterLarge is the number of exchanges with a peer that are calls after its reply did not
 	// fit in a datagram, the one that shows it included.
 	callsAfterLarge = 4
@@ -38,11 +42,13 @@
 	g.datagrams = sender
 }
 
-// ask begins an exchange by datagram. It reports false if the exchange takes a call.
+// ask begins an exchange by datagram. It reports false if the exchange takes a call. A peer that has
+// not sent a message yet is taken to answer datagrams if others do.
 func (g *Gossiper) ask(ctx context.Context, p *peer, message *gossipwire.Message) bool {
 	sent := g.timeOfSending()
 	g.mu.Lock()
-	if g.datagrams == nil || !p.answersAsked || p.callsLeft > 0 {
+	answersAsked := p.answersAsked || (p.name == "" && g.view.hasAnswering)
+	if g.datagrams == nil || !answersAsked || p.callsLeft > 0 {
 		p.callsLeft = max(0, p.callsLeft-1)
 		g.mu.Unlock()
 
@@ -131,7 +137,12 @@
 	}
 	reply := g.buildReply(message)
 	reply.Answers = message.GetAsks()
-	if !g.datagrams.SendMessage(message.GetAddress(), reply) {
+	isSent := g.datagrams.SendMessage(message.GetAddress(), reply)
+	if !isSent && len(reply.GetMembers()) > maxDatagramMembers {
+		reply.Members = someOf(reply.GetMembers(), maxDatagramMembers)
+		isSent = g.datagrams.SendMessage(message.GetAddress(), reply)
+	}
+	if !isSent {
 		g.datagrams.SendMessage(message.GetAddress(), &gossipwire.Message{Address: g.settings.Address, Answers: message.GetAsks(), TooLarge: true})
 	}
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -110,6 +110,7 @@
 	address       string
 	name          string
 	dataCentre    string
+	isLocal       bool // it is in this instance's data centre, as far as is known
 	incarnation   uint64
 	leaving       bool
 	cutOffFrom    []string  // services of which it says that it reaches no endpoint
@@ -125,11 +126,6 @@
 	sharesEngines bool // and so does the message
 }
 
-// isLocal reports whether the peer is known to be in this instance's data centre.
-func (g *Gossiper) isLocal(p *peer) bool {
-	return p.dataCentre != "" && p.dataCentre == g.settings.DataCentre
-}
-
 // New returns a Gossiper whose only peers are the seeds. Serve runs its rounds,
 // Handler serves its peers. The decoder reads configurations fetched from peers.
 func New(settings Settings, dispatcher *dispatcher.Dispatcher, decoder ConfigurationDecoder, client *http.Client, counters *meter.Meter, logger hclog.Logger) *Gossiper {
@@ -252,7 +248,7 @@
 
 // exchangeInterval returns the usual time between two exchanges with a peer.
 func (g *Gossiper) exchangeInterval(fleet spreader.Fleet, p *peer) time.Duration {
-	return time.Duration(fleet.RoundsBetweenExchanges(g.settings.Fanout, g.isLocal(p))) * g.settings.RoundInterval
+	return time.Duration(fleet.RoundsBetweenExchanges(g.settings.Fanout, p.isLocal)) * g.settings.RoundInterval
 }
 
 // rankTimeout returns the time since a peer's last message within which the peer counts in
@@ -353,6 +349,7 @@
 	}
 	p.name, p.dataCentre, p.lastMessageAt, p.receivedAt = message.GetName(), message.GetDataCentre(), now, now
 	p.incarnation, p.leaving, p.cutOffFrom = message.GetIncarnation(), message.GetLeaving(), message.GetCutOff()
+	p.isLocal = p.dataCentre != "" && p.dataCentre == g.settings.DataCentre
 	p.answersAsked = message.GetDatagrams()
 
 	return true
--- a/internal/gossiper/heard.go
+++ b/internal/gossiper/heard.go
@@ -39,25 +39,27 @@
 	g.byHash[hash] = p
 }
 
-// selectHeard returns what messages say of other instances: some by chance of the half of which the
-// newest is known. Were it just the newest, those that an instance hears in every round would leave
-// no room for others. In a small fleet all instances hear each other often, and it is empty. The
+// selectHeard returns what messages say of other instances: some by chance, rather those of which
+// newer is known. Were it the newest, those that an instance hears in every round would leave no
+// room for others. In a small fleet all instances hear each other often, and it is empty. The
 // caller holds the lock.
 func (g *Gossiper) selectHeard(now time.Time, fleet spreader.Fleet, live []*peer) []uint32 {
-	if !fleet.IsDivided() {
+	if !fleet.IsDivided() || len(live) == 0 {
 		return nil
 	}
-	live = slices.DeleteFunc(live, func(p *peer) bool { return p.name == "" })
-	count := min(maxHeard, max(minHeard, len(live)/heardDivisor), (len(live)+1)/2)
-	slices.SortFunc(live, func(a, b *peer) int { return b.lastMessageAt.Compare(a.lastMessageAt) })
-	newest := live[:(len(live)+1)/2]
-	rand.Shuffle(len(newest), func(i, j int) { newest[i], newest[j] = newest[j], newest[i] })
-	heard := make([]uint32, 0, count)
-	for _, p := range newest[:count] {
-		heard = append(heard, encodeHeard(p, now.Sub(p.lastMessageAt)+g.settings.RoundInterval))
+	heard := make([]uint32, 0, maxHeard)
+	for range min(maxHeard, max(minHeard, len(live)/heardDivisor)) {
+		p, other := live[rand.IntN(len(live))], live[rand.IntN(len(live))]
+		if other.lastMessageAt.After(p.lastMessageAt) {
+			p = other
+		}
+		if p.name != "" {
+			heard = append(heard, encodeHeard(p, now.Sub(p.lastMessageAt)+g.settings.RoundInterval))
+		}
 	}
+	slices.Sort(heard)
 
-	return heard
+	return slices.Compact(heard)
 }
 
 // encodeHeard returns the entry of a peer whose last message is of the given age.
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -34,14 +34,14 @@
 
 // buildMessage returns this instance's message to the peer at an address that knows the
 // given number of live addresses. It lists the live peers' addresses if the recipient
-// knows fewer, and loads if includeLoads is set: this instance's, or those of its data
+// knows far fewer, some of them if it knows fewer, and loads if includeLoads is set: this instance's, or those of its data
 // centre if the recipient does not share its engines.
 func (g *Gossiper) buildMessage(recipient string, recipientAddressCount int, includeLoads bool) *gossipwire.Message {
 	now := time.Now()
 	g.mu.Lock()
 	leaving, known := g.leaving, g.viewAt(now)
 	p := g.peers[recipient]
-	sharesEngines := known.fleet.SharesEngines(p != nil && g.isLocal(p))
+	sharesEngines := known.fleet.SharesEngines(p != nil && p.isLocal)
 	g.mu.Unlock()
 	scope := dispatcher.NoLoads
 	switch {
@@ -71,8 +71,11 @@
 		EndpointsAgeMs: toMilliseconds(state.Versions.EndpointsAge),
 		EndpointsEpoch: state.Versions.EndpointsEpoch,
 	}
-	if isMissingMembers(recipientAddressCount, len(known.live)) {
+	switch {
+	case isMissingMembers(recipientAddressCount, len(known.live)):
 		message.Members = known.live
+	case recipientAddressCount < len(known.live):
+		message.Members = someOf(known.live, maxFewMembers)
 	}
 	if includeLoads {
 		addLoads(message, state)
--- a/internal/gossiper/selection.go
+++ b/internal/gossiper/selection.go
@@ -43,8 +43,8 @@
 	}
 	for _, p := range due {
 		p.exchanging, p.lastAttemptAt = true, now
-		p.carriesLoads = fleet.CarriesLoads(g.isLocal(p), now.Sub(g.summaryAt[p.dataCentre]))
-		p.sharesEngines = fleet.SharesEngines(g.isLocal(p))
+		p.carriesLoads = fleet.CarriesLoads(p.isLocal, now.Sub(g.summaryAt[p.dataCentre]))
+		p.sharesEngines = fleet.SharesEngines(p.isLocal)
 		if p.carriesLoads && !p.sharesEngines {
 			g.summaryAt[p.dataCentre] = now // Asked for; it is asked for again when it would be too old.
 		}
@@ -57,9 +57,9 @@
 // rounds after the start, these include some that this instance has not contacted and that have
 // not contacted it.
 func (g *Gossiper) selectInRound(fleet spreader.Fleet, due []*peer, parent *peer) []*peer {
-	selected := spreader.SelectPeers(fleet, g.settings.Fanout, moveToFront(due, parent), g.isLocal)
+	selected := spreader.SelectPeers(fleet, g.settings.Fanout, moveToFront(due, parent), func(p *peer) bool { return p.isLocal })
 	if fleet.IsLocalRound(g.roundCount) {
-		selected = slices.DeleteFunc(selected, func(p *peer) bool { return !g.isLocal(p) && p != parent })
+		selected = slices.DeleteFunc(selected, func(p *peer) bool { return !p.isLocal && p != parent })
 	}
 	if g.roundCount > startupRounds {
 		return selected
@@ -99,7 +99,7 @@
 		if p.name == "" || p.leaving || p.name >= g.settings.Name || now.Sub(p.lastMessageAt) >= g.rankTimeout(fleet, p) {
 			continue
 		}
-		if g.isLocal(p) {
+		if p.isLocal {
 			locals = append(locals, p)
 		}
 		if first == nil || p.name < first.name {
--- a/internal/gossiper/view.go
+++ b/internal/gossiper/view.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,6 +16,8 @@
 	live    []string // addresses of the peers that sent a message within livenessTimeout
 	updated []string // those of them that get load updates at once
 	heard   []uint32 // entries for live instances in messages
+	// hasAnswering is whether a live peer answers exchanges that come in datagrams.
+	hasAnswering bool
 }
 
 // viewAt returns the view of this round. The caller holds the lock.
@@ -30,23 +33,25 @@
 // sent a message yet count in the size of the fleet.
 func (g *Gossiper) buildView(now time.Time) view {
 	built := view{builtAt: now}
-	var live []*peer
+	live := make([]*peer, 0, len(g.peers))
 	for _, p := range g.peers {
 		isLive := now.Sub(p.lastMessageAt) < livenessTimeout
 		if !isLive && (p.name != "" || now.Sub(p.addedAt) >= livenessTimeout) {
 			continue
 		}
 		built.fleet.Peers++
-		if g.isLocal(p) {
+		if p.isLocal {
 			built.fleet.LocalPeers++
 		}
 		if isLive {
 			live = append(live, p)
 		}
 	}
+	built.live, built.updated = make([]string, 0, len(live)), make([]string, 0, built.fleet.LocalPeers)
 	for _, p := range live {
+		built.hasAnswering = built.hasAnswering || p.answersAsked
 		built.live = append(built.live, p.address)
-		if built.fleet.SharesEngines(g.isLocal(p)) {
+		if built.fleet.SharesEngines(p.isLocal) {
 			built.updated = append(built.updated, p.address)
 		}
 	}
@@ -75,3 +80,14 @@
 func (g *Gossiper) Rank() int {
 	return g.dispatcher.Rank()
 }
+
+// someOf returns up to count of the addresses, each equally often by chance.
+func someOf(addresses []string, count int) []string {
+	if len(addresses) <= count {
+		return addresses
+	}
+	first := rand.IntN(len(addresses))
+	some := slices.Clone(addresses[first:min(first+count, len(addresses))])
+
+	return append(some, addresses[:count-len(some)]...)
+}
