gossiper: Keep members in fleets of mostly older builds

Cause: in a divided fleet a peer counts as a member for 4 s at the most, since others say who lives. Older builds do not say it, and an instance hears a peer of another data centre itself every 10 s at 100 instances, so that homes of permits and pins would change all the time during an upgrade. Change: the limit holds if half of the live peers say who lives; else some own exchanges count, of which up to half in the data centre are with the parent. An instance calls an unknown peer in the round after it did not answer a datagram, in the first 2 s.

--- a/internal/gossiper/datagram.go
+++ b/internal/gossiper/datagram.go
@@ -105,6 +105,9 @@
 		p := exchange.peer
 		p.exchanging, p.unanswered = false, min(p.unanswered+1, maxUnansweredShift)
 		p.callsLeft = 1<<p.unanswered - 1
+		if p.name == "" {
+			p.lastAttemptAt = time.Time{} // It may be of an older build; it is called in the next round.
+		}
 		g.meter.Add("gossip.missed", 1)
 	}
 }
--- a/internal/gossiper/datagram_test.go
+++ b/internal/gossiper/datagram_test.go
@@ -29,6 +29,13 @@
 	gossipers map[string]*gossiper.Gossiper // by address
 }
 
+// remove makes all datagrams to an address be lost.
+func (n *datagramNetwork) remove(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.gossipers, address)
+}
+
 const (
 	// maxDatagram is the size of the largest datagram.
 	maxDatagram = 1200
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -70,10 +70,12 @@
 	// silentRetryInterval is the time between attempts to reach a peer that is
 	// not live.
 	silentRetryInterval = time.Second
-	// startupRounds is the number of rounds after the start in which a new instance learns of
-	// the whole fleet: in a small fleet they ignore the fanout and contact all due peers, in a
-	// divided one each contacts up to maxStartupContacts new ones beside it.
+	// startupRounds is the number of rounds after the start in which a new instance of a small
+	// fleet ignores the fanout and contacts all due peers. In a divided one, each of the first
+	// maxUnheardRounds contacts up to maxStartupContacts new ones beside the usual: time for a
+	// datagram that a peer does not answer and a call after it.
 	startupRounds      = 10
+	maxUnheardRounds   = 20
 	maxStartupContacts = 24
 	// missingMemberDivisor sets how many live instances a peer may lack before it is told their
 	// addresses: an eighth of those that it knows.
@@ -118,6 +120,7 @@
 	receivedAt    time.Time // when its last message arrived here
 	lastAttemptAt time.Time // when this instance last started an exchange with it
 	addedAt       time.Time
+	tellsHeard    bool // its messages say of others that they live
 	answersAsked  bool // it answers exchanges that come in datagrams
 	unanswered    int  // datagrams in a row that it has not answered
 	callsLeft     int  // exchanges to be calls before the next datagram
@@ -236,14 +239,19 @@
 }
 
 // memberTimeout returns the time since a peer's last message within which the peer counts
-// as a member: some exchanges in a fleet of this size, however long these take.
+// as a member: some exchanges in a fleet of this size, however long these take. In a divided
+// fleet others say that the peer lives, unless most are of older builds. Then only own exchanges
+// count, and up to half of those in the data centre are with the parent.
 func (g *Gossiper) memberTimeout(fleet spreader.Fleet, p *peer) time.Duration {
 	timeout := max(minRankTimeout, maxMissedExchanges*g.exchangeInterval(fleet, p))
-	if fleet.IsDivided() {
-		return min(livenessTimeout, timeout) // Others say that the peer lives.
+	switch {
+	case !fleet.IsDivided():
+		return timeout
+	case 2*g.view.tellers >= fleet.Peers:
+		return min(livenessTimeout, timeout)
+	default:
+		return 2 * timeout
 	}
-
-	return timeout
 }
 
 // exchangeInterval returns the usual time between two exchanges with a peer.
@@ -350,7 +358,7 @@
 	p.name, p.dataCentre, p.lastMessageAt, p.receivedAt = message.GetName(), message.GetDataCentre(), now, now
 	p.incarnation, p.leaving, p.cutOffFrom = message.GetIncarnation(), message.GetLeaving(), message.GetCutOff()
 	p.isLocal = p.dataCentre != "" && p.dataCentre == g.settings.DataCentre
-	p.answersAsked = message.GetDatagrams()
+	p.tellsHeard, p.answersAsked = len(message.GetHeard()) > 0, message.GetDatagrams()
 
 	return true
 }
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -71,12 +71,7 @@
 		EndpointsAgeMs: toMilliseconds(state.Versions.EndpointsAge),
 		EndpointsEpoch: state.Versions.EndpointsEpoch,
 	}
-	switch {
-	case isMissingMembers(recipientAddressCount, len(known.live)):
-		message.Members = known.live
-	case recipientAddressCount < len(known.live):
-		message.Members = someOf(known.live, maxFewMembers)
-	}
+	message.Members = missingMembers(recipientAddressCount, known.live)
 	if includeLoads {
 		addLoads(message, state)
 	}
--- a/internal/gossiper/selection.go
+++ b/internal/gossiper/selection.go
@@ -61,7 +61,7 @@
 	if fleet.IsLocalRound(g.roundCount) {
 		selected = slices.DeleteFunc(selected, func(p *peer) bool { return !p.isLocal && p != parent })
 	}
-	if g.roundCount > startupRounds {
+	if g.roundCount > maxUnheardRounds {
 		return selected
 	}
 	unheard := 0
@@ -115,9 +115,15 @@
 	return locals[index]
 }
 
-// isMissingMembers reports whether a peer that knows some number of live instances is told the
-// addresses of those that this instance knows. In a large fleet the numbers differ a little at any
-// time.
-func isMissingMembers(known, live int) bool {
-	return known+known/missingMemberDivisor < live
+// missingMembers returns the addresses that a peer is told that knows some number of live
+// instances. In a large fleet the numbers differ a little at any time.
+func missingMembers(knownCount int, live []string) []string {
+	switch {
+	case knownCount >= len(live):
+		return nil
+	case knownCount+knownCount/missingMemberDivisor >= len(live):
+		return someOf(live, maxFewMembers)
+	default:
+		return live
+	}
 }
--- a/internal/gossiper/view.go
+++ b/internal/gossiper/view.go
@@ -16,6 +16,8 @@
 	live    []string // addresses of the peers that sent a message within livenessTimeout
 	updated []string // those of them that get load updates at once
 	heard   []uint32 // entries for live instances in messages
+	// tellers is the number of live peers whose messages say of others that they live.
+	tellers int
 	// hasAnswering is whether a live peer answers exchanges that come in datagrams.
 	hasAnswering bool
 }
@@ -49,6 +51,9 @@
 	}
 	built.live, built.updated = make([]string, 0, len(live)), make([]string, 0, built.fleet.LocalPeers)
 	for _, p := range live {
+		if p.tellsHeard {
+			built.tellers++
+		}
 		built.hasAnswering = built.hasAnswering || p.answersAsked
 		built.live = append(built.live, p.address)
 		if built.fleet.SharesEngines(p.isLocal) {
