dispatcher: Tell crashes while they are news, not in each message

Cause: for minutes after a crash each message had the 32 latest suspects and 32 blocks, found by copying and sorting all of them. Change: messages have the records with news of the last 3 s; one in eight has four older ones in turn, for instances that were cut off or have just started. TestOldCrashesAreToldInSomeMessages: all of ten records within 40 messages, 2 a message at the most.

--- a/internal/dispatcher/block.go
+++ b/internal/dispatcher/block.go
@@ -57,7 +57,10 @@
 	if !d.HasBlockRecords() {
 		return nil
 	}
-	records := d.isolator.RecordsToShare(now)
+	records := d.isolator.RecentRecords(now, crashNewsAge)
+	if d.sharesOldNews() {
+		records = addOldNews(records, d.isolator.RecordsToShare(now), d.messageCount)
+	}
 	d.reportCauses(now, "expiry")
 
 	return records
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -113,6 +113,7 @@
 	brokenAnswers       map[string][]BrokenAnswer // by endpoint ID
 	hasSuspects         atomic.Bool               // whether quarantine has entries
 	lastAttemptID       uint64
+	messageCount        int // messages built
 	rank                int
 	storedConfiguration StoredConfiguration
 	listedEndpoints     []registrar.Endpoint
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -72,6 +72,17 @@
 	DataCentreLoads
 )
 
+const (
+	// crashNewsAge is the age of news of suspects and blocks up to which all messages have it. It
+	// is several times what news takes to spread in a fleet.
+	crashNewsAge = 3 * time.Second
+	// crashRecordInterval is the number of messages of which one has some older news too, for
+	// instances that were cut off or have just started, and maxOldCrashRecords how many records of
+	// suspects and of blocks that are. So such a message still fits in a datagram.
+	crashRecordInterval = 8
+	maxOldCrashRecords  = 4
+)
+
 // BuildMessage returns the message to send to peers, with the loads of the given scope.
 func (d *Dispatcher) BuildMessage(scope LoadScope) (message Message) {
 	d.withState(func() {
@@ -80,6 +91,7 @@
 		if scope != NoLoads {
 			d.addLoads(now, &message)
 		}
+		d.messageCount++
 		message.Suspects = d.suspectsToShare(now)
 		message.Blocks = d.blocksToShare(now)
 		message.Rejections = d.recentRejections(now)
@@ -162,3 +174,21 @@
 
 	return plan
 }
+
+// sharesOldNews reports whether the message that is built has older news of crashes too.
+func (d *Dispatcher) sharesOldNews() bool {
+	return d.messageCount%crashRecordInterval == 0
+}
+
+// addOldNews appends some of all records to those that are news: others in each message.
+func addOldNews[R any](news, all []R, messageCount int) []R {
+	if len(all) == 0 {
+		return news
+	}
+	first := messageCount / crashRecordInterval * maxOldCrashRecords
+	for n := range min(maxOldCrashRecords, len(all)) {
+		news = append(news, all[(first+n)%len(all)])
+	}
+
+	return news
+}
--- a/internal/dispatcher/message_test.go
+++ b/internal/dispatcher/message_test.go
@@ -58,3 +58,32 @@
 		})
 	}
 }
+
+// Guards against an instance that never learns of crashes because it was cut off while they were
+// news: some messages have older records too, in turn all of them.
+func TestOldCrashesAreToldInSomeMessages(t *testing.T) {
+	const requests, messages = 10, 40
+	now := time.Now()
+	d := dispatcher.New(dispatcher.Settings{Name: "self"}, dispatcher.Clock{Now: func() time.Time { return now }, SinceBoot: func() time.Duration { return time.Hour }}, hclog.NewNullLogger())
+	placement := dispatcher.Placement{Choice: placer.Choice{EndpointID: "e"}}
+	for n := range uint64(requests) {
+		d.RecordBrokenAnswer(placement, dispatcher.BrokenAnswer{Fingerprint: n, Blocks: []uint64{100 + n}, BrokenAt: now})
+	}
+	d.RecordEndpointDown(placement)
+	assert.Equal(t, len(d.BuildMessage(dispatcher.NoLoads).Suspects), requests)
+	now = now.Add(5 * time.Second)
+	suspects, blocks, records := map[uint64]bool{}, map[uint64]bool{}, 0
+	for range messages {
+		message := d.BuildMessage(dispatcher.NoLoads)
+		for _, entry := range message.Suspects {
+			suspects[entry.Fingerprint] = true
+		}
+		for _, record := range message.Blocks {
+			blocks[record.Block] = true
+		}
+		records += len(message.Suspects) + len(message.Blocks)
+	}
+	assert.Equal(t, len(suspects), requests)
+	assert.Equal(t, len(blocks), requests)
+	assert.Assert(t, records <= 2*messages, "%d records in %d messages", records, messages)
+}
--- a/internal/dispatcher/poison.go
+++ b/internal/dispatcher/poison.go
@@ -31,10 +31,17 @@
 
 // suspectsToShare returns the suspects to send to peers.
 func (d *Dispatcher) suspectsToShare(now time.Time) []quarantiner.Entry {
-	entries := d.quarantine.EntriesToShare(now)
+	if d.quarantine.IsEmpty() {
+		return nil
+	}
+	entries := d.quarantine.RecentEntries(now, crashNewsAge)
+	entries = entries[:min(len(entries), maxSuspectsPerMessage)]
+	if d.sharesOldNews() {
+		entries = addOldNews(entries, d.quarantine.EntriesToShare(now), d.messageCount)
+	}
 	d.hasSuspects.Store(!d.quarantine.IsEmpty())
 
-	return entries[:min(len(entries), maxSuspectsPerMessage)]
+	return entries
 }
 
 // mergeSuspects adds a peer's suspects to the local ones.
--- a/internal/gossiper/cost_test.go
+++ b/internal/gossiper/cost_test.go
@@ -1,6 +1,7 @@
 package gossiper_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,13 @@
 // measureRest returns the cost of a fleet at rest, once all instances know each other.
 func measureRest(t *testing.T, size int) (cost restCost) {
 	t.Helper()
+
+	return measureRestAfter(t, size, func([]testInstance) {})
+}
+
+// measureRestAfter returns the cost of a fleet at rest 8 s after something happened.
+func measureRestAfter(t *testing.T, size int, happen func([]testInstance)) (cost restCost) {
+	t.Helper()
 	const settled, measured = 8 * time.Second, 4 * time.Second
 	var calls atomic.Int64
 	runFleet(t, size, func(t *testing.T, network *piper.Network, instances []testInstance, _ func() time.Duration) {
@@ -30,6 +38,8 @@
 				handler.ServeHTTP(w, r)
 			}))
 		}
+		time.Sleep(time.Second)
+		happen(instances)
 		time.Sleep(settled)
 		datagrams := instances[0].datagrams
 		bytesSent := func() int64 { return network.BytesSent() + datagrams.bytesSent.Load() }
@@ -66,3 +76,16 @@
 	assert.Assert(t, large.exchanges <= 1.5*small.exchanges, "%+v, %+v", small, large)
 	assert.Assert(t, large.bytes <= 1.5*small.bytes, "%+v, %+v", small, large)
 }
+
+// Guards against a fleet that repeats in each message for minutes which requests ran when endpoints
+// crashed: this cost five times as much as all else at rest.
+func TestCrashesAreNotRepeatedInEachMessage(t *testing.T) {
+	crash := func(instances []testInstance) {
+		for n := range 100 {
+			instances[n%len(instances)].recordCrash(fmt.Sprint("e", n%5), 1<<40+uint64(n), 1, 2)
+		}
+	}
+	calm, after := measureRest(t, 24), measureRestAfter(t, 24, crash)
+	t.Logf("calm: %+v, after crashes: %+v", calm, after)
+	assert.Assert(t, after.bytes <= 2*calm.bytes, "%+v, %+v", calm, after)
+}
--- a/internal/gossiper/datagram.go
+++ b/internal/gossiper/datagram.go
@@ -24,7 +24,7 @@
 	maxFewMembers      = 4
 	// callsAfterLarge is the number of exchanges with a peer that are calls after its reply did not
 	// fit in a datagram, the one that shows it included.
-	callsAfterLarge = 4
+	callsAfterLarge = 2
 )
 
 // askedExchange is an exchange that a datagram of this instance began.
--- a/pkg/isolator/isolator.go
+++ b/pkg/isolator/isolator.go
@@ -225,13 +225,23 @@
 // RecordsToShare returns the records to send to other instances: first those of causes,
 // then those with the latest events, and at most Settings.MaxSharedRecords.
 func (i *Isolator) RecordsToShare(now time.Time) []Record {
+	return i.selectRecords(now, func(r *Record) bool { return i.isCause(r) || now.Sub(r.latestNewsAt()) < sharedAge })
+}
+
+// RecentRecords returns those of the records to share that have news of at most the given age.
+func (i *Isolator) RecentRecords(now time.Time, maxAge time.Duration) []Record {
+	return i.selectRecords(now, func(r *Record) bool { return now.Sub(r.latestNewsAt()) < min(maxAge, sharedAge) })
+}
+
+// selectRecords returns copies of the most important records that are to be shared.
+func (i *Isolator) selectRecords(now time.Time, isShared func(*Record) bool) []Record {
 	if len(i.records) == 0 {
 		return nil
 	}
 	i.currentCauses(now)
-	shared := make([]*Record, 0, len(i.records))
+	var shared []*Record
 	for _, r := range i.records {
-		if i.isCause(r) || now.Sub(r.latestNewsAt()) < sharedAge {
+		if isShared(r) {
 			shared = append(shared, r)
 		}
 	}
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 )
@@ -122,19 +123,29 @@
 // EntriesToShare returns the entries to send to other instances, with the most recent events
 // first, and at most Settings.MaxSharedEntries.
 func (q *Quarantiner) EntriesToShare(now time.Time) []Entry {
-	shared := make([]Entry, 0, len(q.entries))
+	return q.RecentEntries(now, math.MaxInt64)
+}
+
+// RecentEntries returns those of the entries to share whose latest event has at most the given
+// age.
+func (q *Quarantiner) RecentEntries(now time.Time, maxAge time.Duration) []Entry {
+	var recent []*Entry
 	for fingerprint := range q.entries {
-		if e := q.unexpiredEntry(now, fingerprint); e != nil {
-			entry := *e
-			entry.Crashes = slices.Clone(e.Crashes)
-			shared = append(shared, entry)
+		if e := q.unexpiredEntry(now, fingerprint); e != nil && now.Sub(e.latestEventAt()) <= maxAge {
+			recent = append(recent, e)
 		}
 	}
-	slices.SortFunc(shared, func(a, b Entry) int {
+	slices.SortFunc(recent, func(a, b *Entry) int {
 		return cmp.Or(b.latestEventAt().Compare(a.latestEventAt()), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
+	shared := make([]Entry, 0, min(len(recent), q.settings.MaxSharedEntries))
+	for _, e := range recent[:cap(shared)] {
+		entry := *e
+		entry.Crashes = slices.Clone(e.Crashes)
+		shared = append(shared, entry)
+	}
 
-	return shared[:min(len(shared), q.settings.MaxSharedEntries)]
+	return shared
 }
 
 // Merge adds the entries of another instance. It ignores entries whose events lie more
