historian: Keep versions in the record for the limit before a lower one

Cause: a configuration that lowers the time limit of a route also shortened how long a version that is gone stays in the record. A stream that began under the higher limit could be taken up, once all instances had restarted, at the one version that was left. Change: instances that see a lower limit write the one before it into the record; all versions and that limit stay for it. While no configuration is known, nothing is left out. Open: a limit that is lowered while no instance runs.

--- a/internal/chronicler/chronicler.go
+++ b/internal/chronicler/chronicler.go
@@ -30,7 +30,8 @@
 	Kind string
 	// FirstStart is true if the whole system starts for the first time.
 	FirstStart bool
-	// LongestStream returns how long a stream can last, with all requests that take it up.
+	// LongestStream returns how long a stream can last, with all requests that take it up; 0 if
+	// that is not known.
 	LongestStream func() time.Duration
 }
 
--- a/internal/dispatcher/pin.go
+++ b/internal/dispatcher/pin.go
@@ -86,7 +86,7 @@
 			replies <- reply{pin, ok, err}
 		}()
 	}
-	// An instance that is cut off from its peers has nobody to ask.
+	// An instance that is cut off from its peers has no holders to request a pin from.
 	allAnswered = len(holders) > 0 || d.instanceCount.Load() <= 1
 	for range holders {
 		found := <-replies
@@ -137,7 +137,7 @@
 	// OriginPending means that the version may be known soon: an instance or the platform has
 	// not answered, or this instance has just started.
 	OriginPending OriginState = iota
-	// OriginLost means that nobody knows the version.
+	// OriginLost means that no instance and no record has the version.
 	OriginLost
 	// OriginPinned means that an instance knows the version.
 	OriginPinned
@@ -221,13 +221,15 @@
 
 // LongestStream returns how long after an endpoint has left the registry a stream that began
 // there may be taken up. A caller waits no longer than its route allows, and takes the stream up
-// within that time; the last answer takes as long once more.
+// within that time; the last answer takes as long once more. It is 0 without a configuration.
 func (d *Dispatcher) LongestStream() time.Duration {
+	current := d.Matcher()
+	if current == nil {
+		return 0
+	}
 	longest := maxPinnedStream
-	if current := d.Matcher(); current != nil {
-		if limit, isLimited := current.LongestStream(); isLimited {
-			longest = limit
-		}
+	if limit, isLimited := current.LongestStream(); isLimited {
+		longest = limit
 	}
 
 	return 2*longest + useAfterRemoval
--- a/pkg/historian/historian.go
+++ b/pkg/historian/historian.go
@@ -6,6 +6,9 @@
 // for longer than a stream can last. So if the record has one version of a service, a stream of
 // that service began there. The record holds no times, since the clocks of instances differ.
 //
+// When a configuration lowers the limit of how long a stream can last, the record gets the limit
+// before it, since streams that began under that one go on.
+//
 // A record may lack versions: those of streams before the first record, and those that were lost
 // when the platform came back from an older copy. Then it has an entry that says so, which
 // disappears like a version that is absent.
@@ -21,7 +24,8 @@
 )
 
 // anyService and anyVersion are the entry of a record that may lack versions. An endpoint whose
-// version is not stated has the version anyVersion too.
+// version is not stated has the version anyVersion too. The other entries of anyService are
+// earlier limits of how long a stream can last, as texts of durations.
 const anyService, anyVersion = "", ""
 
 // Record says at which versions streams may have begun that have not ended.
@@ -109,6 +113,8 @@
 	listed       map[serviceVersion]bool      // by the last listing
 	lastListedAt map[serviceVersion]time.Time // of recorded versions, or when they were first looked for
 	listedAt     time.Time                    // of the last listing
+	limit        time.Duration                // in force when it was last known
+	earlierLimit time.Duration                // the highest before it that is not in the record yet; 0 if none
 }
 
 // New returns a historian that knows nothing. isFirstStart is true if the whole system starts
@@ -154,6 +160,9 @@
 // ApplyRecord replaces the record by the one that was read from the platform or written there.
 func (h *Historian) ApplyRecord(now time.Time, record Record) {
 	h.record, h.hasRecord, h.isUsable, h.isMissing, h.isFirstStart = record, true, true, false, false
+	if record.longestRecorded() >= h.earlierLimit {
+		h.earlierLimit = 0
+	}
 	maps.DeleteFunc(h.lastListedAt, func(key serviceVersion, _ time.Time) bool { return !record.has(key.service, key.version) })
 	h.noteListed(now)
 }
@@ -185,14 +194,38 @@
 	return h.isMissing
 }
 
+// longestRecorded returns the longest time that a stream can last by the limits in the record.
+func (r Record) longestRecorded() time.Duration {
+	longest := time.Duration(0)
+	for _, text := range r.Versions[anyService] {
+		if limit, err := time.ParseDuration(text); err == nil { // anyVersion is not a limit.
+			longest = max(longest, limit)
+		}
+	}
+
+	return longest
+}
+
 // NextRecord returns the record to write, after HasRecord, and whether it differs from that on
-// the platform. Versions that were absent for longer than a stream can last are left out.
+// the platform. longestStream is the limit in force of how long a stream can last; 0 if it is not
+// known. Versions and earlier limits that were absent for longer than a stream can last, by any limit,
+// are left out.
 func (h *Historian) NextRecord(now time.Time, longestStream time.Duration) (Record, bool) {
+	if longestStream > 0 && longestStream < h.limit {
+		h.earlierLimit = max(h.earlierLimit, h.limit)
+	}
+	if longestStream > 0 {
+		h.limit = longestStream
+	}
+	longest := max(longestStream, h.earlierLimit, h.record.longestRecorded())
 	next := h.record.without(func(service, version string) bool {
 		key := serviceVersion{service, version}
 
-		return !h.listed[key] && now.Sub(h.lastListedAt[key]) > longestStream+maxListingGap
+		return longestStream > 0 && !h.listed[key] && now.Sub(h.lastListedAt[key]) > longest+maxListingGap
 	})
+	if h.earlierLimit > 0 {
+		next = next.with(anyService, h.earlierLimit.String())
+	}
 	isIncomplete := h.record.Epoch != h.epoch
 	if h.isMissing {
 		isIncomplete = !h.isFirstStart
--- a/pkg/historian/historian_test.go
+++ b/pkg/historian/historian_test.go
@@ -166,3 +166,38 @@
 		}
 	})
 }
+
+// Guards against a stream that goes on at another version because a configuration lowered the limit
+// of how long streams can last, and the version that began it left the record by the lower limit,
+// also if all instances restarted since.
+func TestLowerLimitDoesNotShortenTheRecordOfEarlierStreams(t *testing.T) {
+	const higher, lower = 100 * time.Second, 10 * time.Second
+	now, k := time.Unix(1000, 0), newKeeper()
+	list := func(h *historian.Historian, limit time.Duration, versions ...string) {
+		now = now.Add(time.Second)
+		h.ApplyListing(now, 0, map[string][]string{"s": versions})
+		if !h.HasRecord() {
+			k.apply(now, h)
+		}
+		if next, changed := h.NextRecord(now, limit); changed {
+			k.record, k.version = next, k.version+1
+			k.apply(now, h)
+		}
+	}
+	h := historian.New(true)
+	list(h, 0, "v1", "v2")
+	list(h, higher, "v1", "v2")
+	assert.DeepEqual(t, k.record.Versions, map[string][]string{"s": {"v1", "v2"}})
+	list(h, lower, "v1", "v2")
+	restarted := historian.New(false)
+	for range int(higher / time.Second) {
+		list(restarted, lower, "v2")
+		_, isOnly := k.record.OnlyVersion(0, "s")
+		assert.Assert(t, !isOnly, "%+v", k.record)
+	}
+	for range 20 {
+		list(restarted, lower, "v2")
+	}
+	version, isOnly := k.record.OnlyVersion(0, "s")
+	assert.Assert(t, isOnly && version == "v2", "%+v", k.record)
+}
