placer: Count only blocks of the own version as copied

Cause: a long prompt's cost at an engine counted blocks as copied that only engines of another version had; the engine reads them itself. Change: what can be copied is kept by version. Result: TestBlocksOfAnotherVersionDoNotCountAsCopied fails without it (a late engine of v2 chosen where one of v1 has the prefix).

--- a/pkg/placer/data_centre_test.go
+++ b/pkg/placer/data_centre_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 )
 
 // fillDataCentre gives all engines of this data centre a long queue, by a peer's loads.
@@ -181,3 +182,25 @@
 
 	return index
 }
+
+// Guards against a long prompt that is late in its data centre, although engines of an older version
+// elsewhere have its prefix, because what these have counts as copied to the newer version.
+func TestBlocksOfAnotherVersionDoNotCountAsCopied(t *testing.T) {
+	p := placer.New(placer.Settings{InstanceName: "a", DataCentre: "dc0"})
+	p.SetFleetDivided(true)
+	var endpoints []registrar.Endpoint
+	cached := map[string][]uint64{}
+	for n := range 8 {
+		for _, e := range []registrar.Endpoint{{ID: fmt.Sprint("older", n), Version: "v1", DataCentre: "dc1"}, {ID: fmt.Sprint("newer", n), Version: "v2", DataCentre: "dc0"}} {
+			e.Service, e.Address, e.Slots = "llm", e.ID+":80", 64
+			endpoints = append(endpoints, e)
+		}
+		cached[fmt.Sprint("older", n)] = []uint64{1}
+	}
+	p.Configure(endpoints)
+	p.ReceivePrefills(start, cached, false)
+	request := longRequest(1, 1)
+	request.PromptTokens += 8000 // It is late unless the prefix is cached.
+	choice := pick(t, p, start, request)
+	assert.Equal(t, choice.Version, "v1", "%+v", choice)
+}
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -14,8 +14,9 @@
 	dataCentre string
 	eligible   []*endpoint // sorted by rank
 	candidates []*endpoint // the eligible endpoints to choose from, sorted by rank
-	// copyableTokens is the number of the request's tokens that an engine can copy from another.
-	copyableTokens int
+	// copyableTokens is the number of the request's tokens that an engine of a version can copy from
+	// another; nil if engines cannot.
+	copyableTokens map[string]int
 }
 
 // collectCandidates finds the endpoints that may run the request.
@@ -325,20 +326,20 @@
 // copying what it can.
 func (s *search) missingTokens(e *endpoint) int {
 	cached := e.cache.cachedTokens(s.request.Blocks)
-	if s.copyableTokens >= cached+minCopyTokens {
-		cached = s.copyableTokens
+	if copyable := s.copyableTokens[e.Version]; copyable >= cached+minCopyTokens {
+		cached = copyable
 	}
 
 	return max(0, s.request.PromptTokens-cached)
 }
 
-// mostCachedTokens returns the largest number of the request's tokens that an engine which accepts
-// requests has cached.
-func (s *search) mostCachedTokens() int {
-	most := 0
+// mostCachedTokens returns the largest number of the request's tokens that an engine of each version
+// which accepts requests has cached.
+func (s *search) mostCachedTokens() map[string]int {
+	most := map[string]int{}
 	for _, e := range s.eligible {
 		if e.canAccept(s.now) {
-			most = max(most, e.cache.cachedTokens(s.request.Blocks))
+			most[e.Version] = max(most[e.Version], e.cache.cachedTokens(s.request.Blocks))
 		}
 	}
 
