announcer: Find lost registrations of later instances too

Cause: since only the first two instances list the others, a later one whose registration was lost with the store's last seconds did not write it again while peers lived. Change: further pairs list in every second, third interval and so on: some 2 ln(n/2) listings an interval in a fleet of n, in place of n. Also: comments without figures of speech in dispatcher.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -54,8 +54,9 @@
 	DefaultListInterval   = 30 * time.Second
 )
 
-// listerCount is the number of instances that list the others while they have live peers. The peers
-// learn from them.
+// listerCount is the number of instances that list the others in each interval while they have live
+// peers, which learn from them. Each further listerCount instances list in every second, third and
+// so on, so that each finds out in the end whether its own registration was lost.
 const listerCount = 2
 
 // entry is the spec of the object that registers an instance.
@@ -90,8 +91,8 @@
 	return a.done
 }
 
-// Serve registers this instance and then lists the others at intervals until ctx ends, if it is
-// one of the first or has no live peers. If a listing lacks this instance, because the store came
+// Serve registers this instance and then lists the others until ctx ends, at longer intervals the
+// more instances come before it, unless it has no live peers. If a listing lacks this instance, because the store came
 // back from an older copy, it registers again.
 func (a *Announcer) Serve(ctx context.Context) error {
 	defer close(a.done)
@@ -101,9 +102,10 @@
 		a.retryUntilSuccess(ctx, "list", a.listInstances)
 	}
 	sleep(ctx, a.settings.RetryDelay) // Until then the rank is not known for sure.
-	for ctx.Err() == nil {
-		if len(a.fleet.Addresses()) == 0 || a.fleet.Rank() < listerCount {
+	for skipped := 0; ctx.Err() == nil; skipped++ {
+		if len(a.fleet.Addresses()) == 0 || a.fleet.Rank()/listerCount <= skipped {
 			a.update(ctx)
+			skipped = -1
 		}
 		sleep(ctx, a.settings.ListInterval)
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -3,7 +3,7 @@
 // quarantine.
 //
 // A lock guards the state, because the packages under pkg/ that make the decisions are not safe
-// for concurrent use. Nobody waits for anything else while holding it.
+// for concurrent use. No call blocks while it holds the lock.
 package dispatcher
 
 import (
