watcher, dispatcher: Log how old the registry is and why

Change: a line 'Placed.' says the registry's age, which is a metric too (registry-age). Each listing says what it changed for known endpoints: which drain, which are removed and which are kept, and how long the registry had been silent; an outage is logged by itself. Each failed read is logged with its duration and the age at which it began, so is a slow one, and a listing that waited for the record of versions. Lists in lines are limited to eight endpoints, reads to the intervals of the read policy.

--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -165,7 +165,7 @@
 		case d.registry.HasListing() && readAt <= d.listingReadAt:
 		case d.registry.HasListing() && versions.EndpointsDigest == d.listingDigest:
 			d.listingReadAt = readAt
-			d.registry.RecordReachable(d.clock.Now())
+			d.recordReachable(d.clock.Now())
 		default:
 			plan.Endpoints = true
 		}
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -76,19 +76,39 @@
 		d.listingReadAt, d.listingEpoch = sentAt, epoch
 		digest := digestEndpoints(endpoints)
 		now := d.clock.Now()
-		d.registry.RecordReachable(now)
+		silence := d.recordReachable(now)
 		if d.registry.HasListing() && digest == d.listingDigest {
 			return
 		}
 		d.listingDigest = digest
 		d.listedEndpoints = endpoints
-		d.registry.ApplyListing(now, endpoints)
-		d.logger.Info("Registry of endpoints changed.", "endpoints", len(endpoints), "age ms", (d.clock.SinceBoot() - sentAt).Milliseconds())
+		d.logListing(len(endpoints), d.clock.SinceBoot()-sentAt, silence, d.registry.ApplyListing(now, endpoints))
 		d.updatePlacer()
 		d.signalInitialized()
 	})
 }
 
+// recordReachable records that the registry answered, and logs an outage before that. It
+// returns how long the registry had been silent.
+func (d *Dispatcher) recordReachable(now time.Time) time.Duration {
+	silence, isOutage := d.registry.RecordReachable(now)
+	if isOutage {
+		d.logger.Info("The registry was silent; entries that are missing are kept for a while.", "silent ms", silence.Milliseconds())
+	}
+
+	return silence
+}
+
+// maxLoggedEndpoints limits the endpoints of each list in a log line.
+const maxLoggedEndpoints = 8
+
+// logListing logs what a listing changed.
+func (d *Dispatcher) logListing(endpointCount int, age, silence time.Duration, changes registrar.Changes) {
+	few := func(ids []string) []string { return ids[:min(len(ids), maxLoggedEndpoints)] }
+	d.logger.Info("Registry of endpoints changed.", "endpoints", endpointCount, "age ms", age.Milliseconds(), "silent ms", silence.Milliseconds(),
+		"draining", few(changes.Draining), "removed", few(changes.Removed), "kept", few(changes.Kept))
+}
+
 // IsListed reports whether the last listing has the same incarnation of an endpoint.
 func (d *Dispatcher) IsListed(endpoint registrar.Endpoint) (listed bool) {
 	d.withState(func() {
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -17,6 +17,9 @@
 	// it is postponed or all endpoints have reached their limits; zero if the request may be
 	// sent to the endpoint now.
 	RetryAfter time.Duration
+	// RegistryAge is the time since the read that last confirmed the registered endpoints was
+	// sent; negative if there was none.
+	RegistryAge time.Duration
 
 	attemptID uint64
 }
@@ -74,6 +77,7 @@
 		case throttler.Send:
 			d.lastAttemptID++
 			placement.attemptID = d.lastAttemptID
+			_, placement.RegistryAge = d.dataAges()
 			d.placer.RecordSent(now, placement.attemptID, placement.Choice, request)
 			d.reportLoadChange(placement)
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -153,7 +153,8 @@
 		"fresh", placement.UncachedTokens, "copied from", placement.CacheSourceAddress, "long", placement.IsLongPrompt, "border", placement.Split, "engines", placement.EngineCount,
 		"expected ms", placement.ExpectedTimeToFirstToken.Milliseconds(), "known running", placement.KnownLoad.RunningRequests,
 		"known pending", placement.KnownLoad.PendingTokens, "tries before", r.possibleRuns+r.refusals+r.unsentAttempts,
-		"configuration", r.matcher.Number(), "left ms", time.Until(r.deadline).Milliseconds())
+		"configuration", r.matcher.Number(), "registry ms", placement.RegistryAge.Milliseconds(), "left ms", time.Until(r.deadline).Milliseconds())
+	r.relayer.meter.RecordDuration("registry-age", placement.RegistryAge)
 }
 
 // retryOrFinish counts a failed attempt and reports whether another one may follow. If
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -84,8 +84,12 @@
 	Configuration, Endpoints freshener.ReadPolicy
 }
 
-// checkInterval is the time between checks of whether a read is due.
-const checkInterval = 50 * time.Millisecond
+const (
+	// checkInterval is the time between checks of whether a read is due.
+	checkInterval = 50 * time.Millisecond
+	// slowRead is how long a read takes that is logged.
+	slowRead = 200 * time.Millisecond
+)
 
 // Watcher reads the configuration and the endpoints when they are due and passes
 // them to the control.
@@ -141,7 +145,7 @@
 }
 
 // runReadLoop calls read whenever the data is due for a read, until ctx ends. It logs
-// the first of several failures in a row and the success after them.
+// failures and the success after them.
 func (w *Watcher) runReadLoop(ctx context.Context, dataName string, policy freshener.ReadPolicy, read func(context.Context) error, age func() time.Duration) {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -157,11 +161,15 @@
 		}
 		lastReadAt = w.control.SinceBoot()
 		err := read(ctx)
+		took := w.control.SinceBoot() - lastReadAt
 		switch {
 		case err == nil && state.ConsecutiveFailures > 0:
-			w.logger.Info("Reading from the platform works again.", "reading", dataName, "failed reads", state.ConsecutiveFailures)
-		case err != nil && state.ConsecutiveFailures == 0 && ctx.Err() == nil:
-			w.logger.Warn("Cannot read from the platform.", "reading", dataName, "error", err)
+			w.logger.Info("Reading from the platform works again.", "reading", dataName, "failed reads", state.ConsecutiveFailures, "ms", took.Milliseconds())
+		case err == nil && took >= slowRead:
+			w.logger.Info("Reading from the platform took long.", "reading", dataName, "age before ms", state.Age.Milliseconds(), "ms", took.Milliseconds())
+		case err != nil && ctx.Err() == nil:
+			w.logger.Warn("Cannot read from the platform.", "reading", dataName, "age ms", state.Age.Milliseconds(), "ms", took.Milliseconds(),
+				"failed reads before", state.ConsecutiveFailures, "error", err)
 		}
 		state.ConsecutiveFailures++
 		if err == nil {
@@ -229,7 +237,11 @@
 			after = page.Items[len(page.Items)-1].Name
 		}
 	}
+	readAt := w.control.SinceBoot()
 	admitted := w.versions.Admit(ctx, epoch, endpoints, w.control.IsListed)
+	if waited := w.control.SinceBoot() - readAt; waited >= checkInterval || len(admitted) < len(endpoints) {
+		w.logger.Info("A listing waited for the record of versions.", "ms", waited.Milliseconds(), "endpoints", len(endpoints), "admitted", len(admitted))
+	}
 	if len(admitted) == 0 && len(endpoints) > 0 {
 		return errors.New("the endpoints' versions are not recorded yet")
 	}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -95,12 +95,18 @@
 
 // RecordReachable records that the registry answered. If it had been silent for
 // longer than MinOutage, missing entries are kept from now on for
-// ReregistrationWindow.
-func (r *Registrar) RecordReachable(now time.Time) {
-	if r.hasListing && now.Sub(r.lastReachable) > r.settings.MinOutage {
+// ReregistrationWindow. It returns how long it had been silent, and whether that counts as an
+// outage.
+func (r *Registrar) RecordReachable(now time.Time) (silence time.Duration, isOutage bool) {
+	if r.hasListing {
+		silence = now.Sub(r.lastReachable)
+	}
+	if isOutage = silence > r.settings.MinOutage; isOutage {
 		r.keepMissingUntil = now.Add(r.settings.ReregistrationWindow)
 	}
 	r.lastReachable = now
+
+	return silence, isOutage
 }
 
 // RecordRestored records that the registry came back from an older copy. It begins a
@@ -113,9 +119,17 @@
 	r.isRestored = true
 }
 
-// ApplyListing replaces the entries by a complete listing of the registry. Call
-// RecordReachable first.
-func (r *Registrar) ApplyListing(now time.Time, endpoints []Endpoint) {
+// Changes are what a listing changed, as IDs of endpoints.
+type Changes struct {
+	// Draining are the endpoints that drain since this listing, and Removed those that it lacks.
+	Draining, Removed []string
+	// Kept are those that it lacks and that are kept in the reregistration window.
+	Kept []string
+}
+
+// ApplyListing replaces the entries by a complete listing of the registry, and returns what
+// changed for the endpoints that were known. Call RecordReachable first.
+func (r *Registrar) ApplyListing(now time.Time, endpoints []Endpoint) (changes Changes) {
 	listed := map[string]bool{}
 	clear(r.heldBack)
 	for _, endpoint := range endpoints {
@@ -125,18 +139,29 @@
 
 			continue
 		}
-		if known, ok := r.entries[endpoint.ID]; ok && known.StartedUnixMs != endpoint.StartedUnixMs {
+		known, isKnown := r.entries[endpoint.ID]
+		if isKnown && known.StartedUnixMs != endpoint.StartedUnixMs {
 			r.rememberRemoved(now, known)
 		}
+		if isKnown && !known.Draining && endpoint.Draining {
+			changes.Draining = append(changes.Draining, endpoint.ID)
+		}
 		r.setEntry(endpoint)
 	}
 	for id := range r.entries {
-		if !listed[id] {
-			r.removeOrKeep(now, id)
+		if listed[id] {
+			continue
+		}
+		if r.removeOrKeep(now, id) {
+			changes.Kept = append(changes.Kept, id)
+		} else {
+			changes.Removed = append(changes.Removed, id)
 		}
 	}
 	r.hasListing = true
 	r.updateSortedEndpoints()
+
+	return changes
 }
 
 // isOutdated reports whether more is known of a listed incarnation than its entry says: it
@@ -190,16 +215,19 @@
 }
 
 // removeOrKeep handles an entry that a listing does not contain: it keeps the entry
-// as missing during the reregistration window, and removes it otherwise.
-func (r *Registrar) removeOrKeep(now time.Time, id string) {
+// as missing during the reregistration window, and removes it otherwise. It reports whether
+// the entry is kept.
+func (r *Registrar) removeOrKeep(now time.Time, id string) bool {
 	if now.Before(r.keepMissingUntil) {
 		r.missing[id] = true
 
-		return
+		return true
 	}
 	r.rememberRemoved(now, r.entries[id])
 	delete(r.entries, id)
 	delete(r.missing, id)
+
+	return false
 }
 
 // RemoveExpired ends the reregistration window when it is over: it removes missing
