watcher: Apply departures of a listing before its new endpoints

Callers: a request could reach an endpoint that left, up to half a second later than needed, or for as long as the record of versions could not be written if all listed endpoints were new.

Cause: a listing waits for the record of versions as a whole (Chronicler.Admit, 500 ms), though the record matters only to new endpoints; and it was dropped as a whole when none was admitted.

Change: Registrar.ApplyDepartures takes from a listing only what it says of known incarnations, before the wait. It does not become the listing that peers get, since it lacks the new endpoints.

Measured: TestDeparturesDoNotWaitForTheRecordOfVersions fails without the call (the endpoint takes requests 550 ms after it is gone) and passes with it.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -118,6 +118,7 @@
 	storedConfiguration StoredConfiguration
 	listedEndpoints     []registrar.Endpoint
 	listingDigest       uint64
+	hasDepartures       bool          // the registry has departures of a listing that is not the last one
 	listingReadAt       time.Duration // time since boot at which the listing's read was sent
 	listingEpoch        uint64        // epoch of the store in which the listing was read
 	storeEpoch          uint64        // the highest epoch of the store that is known
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -163,7 +163,7 @@
 		case versions.EndpointsEpoch > d.listingEpoch:
 			plan.Endpoints = true
 		case d.registry.HasListing() && readAt <= d.listingReadAt:
-		case d.registry.HasListing() && versions.EndpointsDigest == d.listingDigest:
+		case d.registry.HasListing() && versions.EndpointsDigest == d.listingDigest && !d.hasDepartures:
 			d.listingReadAt = readAt
 			d.recordReachable(d.clock.Now())
 		default:
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -70,17 +70,17 @@
 func (d *Dispatcher) ApplyListing(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint) {
 	d.withState(func() {
 		d.recordEpoch(epoch)
-		if d.registry.HasListing() && (epoch < d.listingEpoch || (epoch == d.listingEpoch && sentAt < d.listingReadAt)) {
+		if d.isOlderListing(sentAt, epoch) {
 			return
 		}
 		d.listingReadAt, d.listingEpoch = sentAt, epoch
 		digest := digestEndpoints(endpoints)
 		now := d.clock.Now()
 		silence := d.recordReachable(now)
-		if d.registry.HasListing() && digest == d.listingDigest {
+		if d.registry.HasListing() && digest == d.listingDigest && !d.hasDepartures {
 			return
 		}
-		d.listingDigest = digest
+		d.listingDigest, d.hasDepartures = digest, false
 		d.listedEndpoints = endpoints
 		d.logListing(len(endpoints), d.clock.SinceBoot()-sentAt, silence, d.registry.ApplyListing(now, endpoints))
 		d.updatePlacer()
@@ -88,6 +88,38 @@
 	})
 }
 
+// isOlderListing reports whether a listing is older than the last one.
+func (d *Dispatcher) isOlderListing(sentAt time.Duration, epoch uint64) bool {
+	return d.registry.HasListing() && (epoch < d.listingEpoch || (epoch == d.listingEpoch && sentAt < d.listingReadAt))
+}
+
+// ApplyDepartures applies what a complete listing says of endpoints in use that leave or are gone,
+// as ApplyListing does. Its new endpoints may not be used yet, so it does not become the last listing.
+func (d *Dispatcher) ApplyDepartures(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint) {
+	d.withState(func() {
+		d.recordEpoch(epoch)
+		if !d.registry.HasListing() || d.isOlderListing(sentAt, epoch) {
+			return
+		}
+		now := d.clock.Now()
+		silence := d.recordReachable(now)
+		changes := d.registry.ApplyDepartures(now, endpoints)
+		if len(changes.Draining)+len(changes.Removed)+len(changes.Kept) == 0 {
+			return
+		}
+		d.hasDepartures = true
+		d.logListing(len(endpoints), d.clock.SinceBoot()-sentAt, silence, changes)
+		d.updatePlacer()
+	})
+}
+
+// TakesRequests reports whether an incarnation of an endpoint is registered and not leaving.
+func (d *Dispatcher) TakesRequests(id string, startedUnixMs int64) (takes bool) {
+	d.withState(func() { takes = d.registry.TakesRequests(id, startedUnixMs) })
+
+	return takes
+}
+
 // recordReachable records that the registry answered, and logs an outage before that. It
 // returns how long the registry had been silent.
 func (d *Dispatcher) recordReachable(now time.Time) time.Duration {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -57,6 +57,8 @@
 	// ApplyListing applies a list of all endpoints, read in an epoch of the store by calls
 	// of which the first was sent at the given time.
 	ApplyListing(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint)
+	// ApplyDepartures applies of such a list only what it says of endpoints in use.
+	ApplyDepartures(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint)
 }
 
 // VersionRecord keeps the record of the endpoints' versions.
@@ -237,6 +239,8 @@
 			after = page.Items[len(page.Items)-1].Name
 		}
 	}
+	// New endpoints may wait for the record of versions, those that leave must not.
+	w.control.ApplyDepartures(sentAt, epoch, endpoints)
 	readAt := w.control.SinceBoot()
 	admitted := w.versions.Admit(ctx, epoch, endpoints, w.control.IsListed)
 	if waited := w.control.SinceBoot() - readAt; waited >= checkInterval || len(admitted) < len(endpoints) {
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -23,6 +23,7 @@
 // with one entry that cannot be decoded.
 type fakeStore struct {
 	mu          sync.Mutex
+	onlyNew     bool // the registry has only one endpoint, new
 	getCount    int
 	version     uint64
 	epoch       uint64
@@ -54,6 +55,11 @@
 }
 
 func (s *fakeStore) List(_ context.Context, _, after string, _ int) (storer.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.onlyNew {
+		return storer.Page{Items: []storer.Object{{Name: "new"}}}, nil
+	}
 	if after == "" {
 		return storer.Page{Items: []storer.Object{{Name: "a"}, {Name: "bad"}}, HasMore: true}, nil
 	}
@@ -91,12 +97,18 @@
 // rank. The test gets the dispatcher that the watcher passes its data to, and a clock
 // that also counts suspended time.
 func runWatcher(t *testing.T, s *fakeStore, rank int, test func(*testing.T, *dispatcher.Dispatcher, func() time.Duration)) {
+	t.Helper()
+	runWatcherWith(t, s, recordedVersions{}, rank, test)
+}
+
+// runWatcherWith is runWatcher with a record of versions.
+func runWatcherWith(t *testing.T, s *fakeStore, versions watcher.VersionRecord, rank int, test func(*testing.T, *dispatcher.Dispatcher, func() time.Duration)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		startedAt := time.Now()
 		sinceBoot := func() time.Duration { return time.Since(startedAt) + time.Hour }
 		d := dispatcher.New(dispatcher.Settings{KeyLeaseDuration: 5 * time.Second}, dispatcher.Clock{Now: time.Now, SinceBoot: sinceBoot}, hclog.NewNullLogger())
-		w := watcher.New(watcher.ReadPolicies{Configuration: watcher.DefaultReadPolicy(), Endpoints: watcher.DefaultReadPolicy()}, s, fakeDecoder{}, recordedVersions{}, d, hclog.NewNullLogger())
+		w := watcher.New(watcher.ReadPolicies{Configuration: watcher.DefaultReadPolicy(), Endpoints: watcher.DefaultReadPolicy()}, s, fakeDecoder{}, versions, d, hclog.NewNullLogger())
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _ = d.Serve(ctx) }()
 		d.SetFleet(dispatcher.Fleet{InstanceCount: rank + 1, Rank: rank})
@@ -173,3 +185,32 @@
 	})
 	assert.Assert(t, s.getCount < 30, "%d reads in 20 s of outage", s.getCount)
 }
+
+// slowRecord is a record of versions that has none of the endpoint "new", and that takes long to
+// say so.
+type slowRecord struct{}
+
+func (slowRecord) Admit(_ context.Context, _ uint64, endpoints []registrar.Endpoint, _ func(registrar.Endpoint) bool) []registrar.Endpoint {
+	if endpoints[0].ID != "new" {
+		return endpoints
+	}
+	time.Sleep(400 * time.Millisecond)
+
+	return nil
+}
+
+// Guards against requests to endpoints that are gone, because the listing that says so has new
+// endpoints whose versions are not recorded yet, or only such.
+func TestDeparturesDoNotWaitForTheRecordOfVersions(t *testing.T) {
+	s := &fakeStore{version: 1}
+	runWatcherWith(t, s, slowRecord{}, 0, func(t *testing.T, d *dispatcher.Dispatcher, _ func() time.Duration) {
+		time.Sleep(time.Second)
+		assert.Assert(t, d.TakesRequests("a", 0))
+		s.update(func(s *fakeStore) { s.onlyNew = true })
+		time.Sleep(550 * time.Millisecond)
+		assert.Assert(t, !d.TakesRequests("a", 0))
+		s.update(func(s *fakeStore) { s.onlyNew = false })
+		time.Sleep(time.Second)
+		assert.Assert(t, d.TakesRequests("a", 0), "the registry is as before")
+	})
+}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -164,6 +164,20 @@
 	return changes
 }
 
+// ApplyDepartures applies of a complete listing only what it says of the incarnations that are
+// known: those that drain and those that it lacks. It adds none, for listings whose new endpoints
+// may not be used yet. Call RecordReachable first.
+func (r *Registrar) ApplyDepartures(now time.Time, endpoints []Endpoint) Changes {
+	known := make([]Endpoint, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		if entry, ok := r.entries[endpoint.ID]; ok && entry.StartedUnixMs == endpoint.StartedUnixMs {
+			known = append(known, endpoint)
+		}
+	}
+
+	return r.ApplyListing(now, known)
+}
+
 // isOutdated reports whether more is known of a listed incarnation than its entry says: it
 // was draining, had been removed or had been followed by a later one.
 func (r *Registrar) isOutdated(listed Endpoint) bool {
@@ -282,6 +296,13 @@
 	return "", false
 }
 
+// TakesRequests reports whether an incarnation of an endpoint is registered and not leaving.
+func (r *Registrar) TakesRequests(id string, startedUnixMs int64) bool {
+	endpoint, ok := r.entries[id]
+
+	return ok && endpoint.StartedUnixMs == startedUnixMs && !endpoint.Draining
+}
+
 // HasListing reports whether the registry has been listed at least once.
 func (r *Registrar) HasListing() bool {
 	return r.hasListing
