registrar: Count silence as an outage only if a read failed

Callers: requests reached endpoints that had left, for up to 2 s after the instance knew it.

Cause: an entry that is missing after an outage is kept for 2 s, and any silence of the registry of more than 1.5 s (2.25 s where an endpoint may take 3 s to leave) was an outage: also if nobody had asked, or if the read that ended it took long. The reads' own intervals reach that: 1.65 s and a read of up to 0.7 s.

Change: it is an outage if a read failed in the silence, or after 3.5 s, in which entries that are not renewed have expired anyway.

Measured: TestSilenceIsAnOutageOnlyIfAReadFailed ('nobody asked' fails with the rule before).

--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -113,6 +113,11 @@
 	})
 }
 
+// RecordFailedListing records that the endpoints could not be read from the platform.
+func (d *Dispatcher) RecordFailedListing() {
+	d.withState(d.registry.RecordFailedRead)
+}
+
 // TakesRequests reports whether an incarnation of an endpoint is registered and not leaving.
 func (d *Dispatcher) TakesRequests(id string, startedUnixMs int64) (takes bool) {
 	d.withState(func() { takes = d.registry.TakesRequests(id, startedUnixMs) })
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -57,6 +57,8 @@
 	// ApplyListing applies a list of all endpoints, read in an epoch of the store by calls
 	// of which the first was sent at the given time.
 	ApplyListing(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint)
+	// RecordFailedListing records that the endpoints could not be read.
+	RecordFailedListing()
 	// ApplyDepartures applies of such a list only what it says of endpoints in use.
 	ApplyDepartures(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint)
 }
@@ -219,6 +221,8 @@
 	for after, more := "", true; more; {
 		page, err := w.store.List(ctx, w.decoder.EndpointKind(), after, 0)
 		if err != nil {
+			w.control.RecordFailedListing()
+
 			return err
 		}
 		if after != "" && page.Epoch != epoch {
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -3,10 +3,13 @@
 //
 // While the registry is unreachable, entries may expire in it although their
 // endpoints still run. So an entry that is missing from a listing is removed at once
-// only if the registry was reachable all the time. After an outage, a missing entry
+// unless the registry was unreachable before. After an outage, a missing entry
 // is kept for Settings.ReregistrationWindow, and removed if it has not come back by
 // then. An entry that marks its endpoint as draining takes effect at any time.
 //
+// Silence is not yet an outage: nobody may have asked, or the answer may have taken long. It is
+// one if a read failed, or if it lasted for so long that entries have expired anyway.
+//
 // A registry may also come back from an older copy. Its entries are then those of some
 // time ago, until the endpoints have renewed them. For Settings.ReregistrationWindow,
 // what is known of an incarnation goes before the copy: missing entries are kept, a
@@ -50,17 +53,22 @@
 	// ReregistrationWindow is how long after an outage of the registry a missing
 	// entry may still come back.
 	ReregistrationWindow time.Duration
-	// MinOutage is the shortest silence of the registry that counts as an outage, in
-	// which entries may have expired.
+	// MinOutage is the shortest silence of the registry that counts as an outage if a read
+	// failed in it.
 	MinOutage time.Duration
 }
 
+// entryLifetime is the silence of the registry, with or without a failed read, in which entries
+// that were not renewed have expired.
+const entryLifetime = 3500 * time.Millisecond
+
 // Registrar holds the registered endpoints.
 type Registrar struct {
 	settings         Settings
 	entries          map[string]Endpoint // by ID
 	missing          map[string]bool     // IDs of entries kept after an outage
 	lastReachable    time.Time           // time of the registry's last answer
+	hasFailedRead    bool                // a read has failed since
 	keepMissingUntil time.Time           // end of the reregistration window
 	isRestored       bool                // the window follows a return from an older copy
 	heldBack         map[string]Endpoint // entries of the copy that are not used in the window, by ID
@@ -93,18 +101,23 @@
 	r.settings = settings
 }
 
-// RecordReachable records that the registry answered. If it had been silent for
-// longer than MinOutage, missing entries are kept from now on for
-// ReregistrationWindow. It returns how long it had been silent, and whether that counts as an
+// RecordFailedRead records that a read of the registry failed.
+func (r *Registrar) RecordFailedRead() {
+	r.hasFailedRead = true
+}
+
+// RecordReachable records that the registry answered. If that ends an outage, missing entries
+// are kept from now on for ReregistrationWindow. It returns how long it had been silent, and whether that counts as an
 // outage.
 func (r *Registrar) RecordReachable(now time.Time) (silence time.Duration, isOutage bool) {
 	if r.hasListing {
 		silence = now.Sub(r.lastReachable)
 	}
-	if isOutage = silence > r.settings.MinOutage; isOutage {
+	isOutage = silence > entryLifetime || (r.hasFailedRead && silence > r.settings.MinOutage)
+	if isOutage {
 		r.keepMissingUntil = now.Add(r.settings.ReregistrationWindow)
 	}
-	r.lastReachable = now
+	r.lastReachable, r.hasFailedRead = now, false
 
 	return silence, isOutage
 }
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -68,6 +68,32 @@
 	}
 }
 
+// Guards against an endpoint that is gone staying in use, because the platform was not asked for a
+// while or answered slowly, which is no outage in which its entry may have expired.
+func TestSilenceIsAnOutageOnlyIfAReadFailed(t *testing.T) {
+	for name, test := range map[string]struct {
+		silence time.Duration
+		fails   bool
+		want    string
+	}{
+		"nobody asked":           {2900 * time.Millisecond, false, "a"},
+		"a read failed":          {1600 * time.Millisecond, true, "ab"},
+		"a read failed, shortly": {1400 * time.Millisecond, true, "a"},
+		"the instance stood":     {4 * time.Second, false, "ab"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(settings)
+			r.RecordFailedRead()
+			applyListing(r, 0, endpointA, endpointB)
+			if test.fails {
+				r.RecordFailedRead()
+			}
+			applyListing(r, test.silence, endpointA)
+			assert.Equal(t, endpointIDs(r), test.want)
+		})
+	}
+}
+
 func TestDrainingTakesEffectAfterOutage(t *testing.T) {
 	r := registrar.New(settings)
 	applyListing(r, 0, endpointA, endpointB)
