storer: Send reads again on a new connection while no answer comes

Cause: a read had 700 ms, and its failure closed the idle connections. Where packets wait for 175 ms or more (a queue, a lost opening packet), a read on a new connection never ends in time, so that none succeeds any more once the connection is lost. A silent connection cost 700 ms before the next try.

Change: reads of the configuration and the endpoints have a second; after 250 and 500 ms without an answer they are sent again on a new connection, without giving up those that wait. The losers do not close connections.

A store that answers within 250 ms gets no more calls.

--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -31,10 +31,14 @@
 )
 
 const (
-	// storeTimeout limits a call of the platform's object API. Two calls in a row and the
-	// interval between them take less than the two seconds within which an instance must
-	// learn of a change.
+	// storeTimeout limits a call of the platform's object API.
 	storeTimeout = 700 * time.Millisecond
+	// readTimeout limits a read of the configuration or the endpoints. It leaves time for a
+	// new connection to a store that is 250 ms away in either direction.
+	readTimeout = time.Second
+	// hedgeDelay is the time after which such a read is sent again on a new connection. A
+	// packet that was lost is sent again within it.
+	hedgeDelay = 250 * time.Millisecond
 	// requestHeaderTimeout limits how long a client may take to send a request's headers.
 	requestHeaderTimeout = 10 * time.Second
 	// maxHeaderBytes limits the size of a request's headers. The limit in the platform's
@@ -151,7 +155,7 @@
 		Kind: platform.Decoder.VersionKind(), FirstStart: settings.FirstStart, LongestStream: r.dispatcher.LongestStream,
 	}, store, logger.Named("chronicler"))
 	r.dispatcher.SetVersionSource(versionChronicler)
-	platformWatcher := watcher.New(readPolicies(settings), store, platform.Decoder, versionChronicler, r.dispatcher, logger.Named("watcher"))
+	platformWatcher := watcher.New(readPolicies(settings), store.WithTimeout(readTimeout).WithHedgedReads(hedgeDelay), platform.Decoder, versionChronicler, r.dispatcher, logger.Named("watcher"))
 	r.counters = counters
 	r.callerConnections = newConnectionTracker(r.callerIdleTimeout)
 	r.callerServer = &http.Server{
@@ -233,7 +237,7 @@
 	return &http.Transport{
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
-		DialContext:         host.dialWithin(storeTimeout),
+		DialContext:         host.dialWithin(readTimeout),
 	}
 }
 
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -43,6 +43,7 @@
 	httpClient *http.Client
 	timeout    time.Duration
 	dialect    Dialect
+	hedgeDelay time.Duration  // 0 for none
 	epoch      *atomic.Uint64 // the highest seen; shared by the copies of the client
 }
 
@@ -70,6 +71,16 @@
 	return &clone
 }
 
+// WithHedgedReads returns a copy of the client that sends a read (Get or List) again on a new
+// connection if no answer has come after the given time, and once more after as long again. The
+// first answer counts; the read that waits is not given up for the others.
+func (c *Client) WithHedgedReads(delay time.Duration) *Client {
+	clone := *c
+	clone.hedgeDelay = delay
+
+	return &clone
+}
+
 // Epoch returns the highest epoch of the store that the client has seen; 0 if the store
 // states none.
 func (c *Client) Epoch() uint64 {
@@ -198,17 +209,39 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+call.MaxWait)
 	defer cancel()
 
-	var maybeSent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { maybeSent.Store(true) },
-	})
 	message, err := c.dialect.Encode(call)
 	if err != nil {
 		return false, newCallError(err, ErrInvalidCall)
 	}
+	answer, err := c.exchangeHedged(ctx, call, message)
+	if err != nil {
+		return false, err
+	}
+
+	epoch, err := c.recordEpoch(call, answer.epoch)
+	if err != nil {
+		return false, err
+	}
+
+	return c.decodeResponse(call, answer.status, epoch, answer.body, decode)
+}
+
+// answer is the answer to a call before it is decoded.
+type answer struct {
+	status int
+	epoch  uint64 // as stated; 0 if it is not
+	body   []byte
+}
+
+// exchange sends a call once and reads its answer.
+func (c *Client) exchange(ctx context.Context, call Call, message HTTPRequest) (answer, error) {
+	var maybeSent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { maybeSent.Store(true) },
+	})
 	request, err := http.NewRequestWithContext(ctx, message.Method, c.baseURL+message.Path, bytes.NewReader(message.Body))
 	if err != nil {
-		return false, newCallError(err, ErrInvalidCall)
+		return answer{}, newCallError(err, ErrInvalidCall)
 	}
 	request.URL.RawQuery = message.Query.Encode()
 	for name, value := range message.Header {
@@ -217,21 +250,59 @@
 
 	response, err := c.httpClient.Do(request)
 	if err != nil {
-		return false, c.unansweredError(err, call.isWrite() && maybeSent.Load())
+		return answer{}, c.unansweredError(ctx, err, call.isWrite() && maybeSent.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
 
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return false, c.unansweredError(err, call.isWrite())
+		return answer{}, c.unansweredError(ctx, err, call.isWrite())
 	}
 
-	epoch, err := c.recordEpoch(call, c.dialect.Epoch(response.Header))
-	if err != nil {
-		return false, err
-	}
+	return answer{response.StatusCode, c.dialect.Epoch(response.Header), body}, nil
+}
 
-	return c.decodeResponse(call, response.StatusCode, epoch, body, decode)
+// errAnswered is the cause of a read that is given up because another one has its answer.
+var errAnswered = errors.New("another read has the answer")
+
+// maxHedges is the number of times that a read is sent again while it has no answer.
+const maxHedges = 2
+
+// exchangeHedged is exchange, and for reads sends the call again while no answer comes. It returns
+// the first answer, or the last error if none comes.
+func (c *Client) exchangeHedged(ctx context.Context, call Call, message HTTPRequest) (answer, error) {
+	if c.hedgeDelay <= 0 || (call.Verb != Get && call.Verb != List) {
+		return c.exchange(ctx, call, message)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errAnswered)
+	type result struct {
+		answer answer
+		err    error
+	}
+	results := make(chan result, 1+maxHedges)
+	send := func() {
+		received, err := c.exchange(ctx, call, message)
+		results <- result{received, err}
+	}
+	go send()
+	timer := time.NewTimer(c.hedgeDelay)
+	defer timer.Stop()
+	for sent, ended := 1, 0; ; {
+		select {
+		case r := <-results:
+			if ended++; r.err == nil || ended == sent {
+				return r.answer, r.err
+			}
+		case <-timer.C:
+			if sent <= maxHedges {
+				sent++
+				c.httpClient.CloseIdleConnections() // They may be as silent as the first one's.
+				go send()
+				timer.Reset(c.hedgeDelay)
+			}
+		}
+	}
 }
 
 // recordEpoch returns the epoch of an answer that states one, or else the highest epoch
@@ -257,9 +328,11 @@
 
 // unansweredError returns the error for a call that got no complete answer. It also
 // closes the idle connections, because they may be as unusable as the connection of
-// the call.
-func (c *Client) unansweredError(err error, writeInDoubt bool) error {
-	c.httpClient.CloseIdleConnections()
+// the call, unless the call was given up for another answer.
+func (c *Client) unansweredError(ctx context.Context, err error, writeInDoubt bool) error {
+	if !errors.Is(context.Cause(ctx), errAnswered) {
+		c.httpClient.CloseIdleConnections()
+	}
 	if writeInDoubt {
 		return newCallError(err, ErrWriteInDoubt)
 	}
--- a/internal/storer/client_test.go
+++ b/internal/storer/client_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,3 +150,51 @@
 		assert.NilError(t, err)
 	})
 }
+
+// Guards against an instance that learns nothing from the platform for as long as its link is slow:
+// each read is given up, and with it the connection that it had opened.
+func TestHedgedReadSurvivesSilentConnectionAndSlowLink(t *testing.T) {
+	for name, test := range map[string]struct {
+		dial, answer time.Duration
+		silentConns  int // connections that never answer
+		failedDials  int
+		isRead       bool
+	}{
+		"at once":             {answer: 5 * time.Millisecond, isRead: true},
+		"slow link":           {dial: 440 * time.Millisecond, answer: 440 * time.Millisecond, isRead: true},
+		"silent connection":   {answer: 5 * time.Millisecond, silentConns: 1, isRead: true},
+		"silent twice":        {answer: 5 * time.Millisecond, silentConns: 2, isRead: true},
+		"silent three times":  {answer: 5 * time.Millisecond, silentConns: 3},
+		"refused, then opens": {answer: 5 * time.Millisecond, failedDials: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network, dials := piper.New(), 0
+				network.Serve("store", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					time.Sleep(test.answer)
+					_, _ = w.Write([]byte(`{"name":"a","version":7}`))
+				}))
+				network.ServeConn("silent", func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+				transport := &http.Transport{DialContext: func(ctx context.Context, kind, _ string) (net.Conn, error) {
+					time.Sleep(test.dial)
+					dials++
+					switch {
+					case dials <= test.failedDials:
+						return nil, errors.New("refused")
+					case dials <= test.silentConns:
+						return network.Dial(ctx, kind, "silent:1")
+					}
+
+					return network.Dial(ctx, kind, "store:1")
+				}}
+				client := storer.New("http://store", &http.Client{Transport: transport}).WithTimeout(time.Second).WithHedgedReads(250 * time.Millisecond)
+				object, err := client.Get(t.Context(), "Lease", "a")
+				assert.Equal(t, err == nil && object.Version == 7, test.isRead, "%v", err)
+				time.Sleep(time.Second)
+				transport.CloseIdleConnections()
+				network.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
