dispatcher, relayer: Send nothing by a registry older than the limit

Callers: a request reached an endpoint 3.7 s after it had left, where 3 s are allowed.

Cause: nothing limited the age of the registry when an endpoint was chosen, and nothing was asked of it between the choice and the first byte. Whatever kept an instance from hearing of a change (a slow link, a lost connection, peers that know no more) lengthened the time without a bound.

Change: an endpoint is chosen only by a registry younger than the site's limit less a quarter of a second (an eighth of shorter limits). Otherwise the request waits for the read that is on its way, up to half a second, and is refused as not run if none ends. If a read that was sent after the last confirmation failed, the platform is lost and older data is used, so that callers are served. The same is checked right before the first byte, and whether the endpoint is still registered; an endpoint that has left meanwhile is replaced without a cost to the limit of repeats. Outages count between the sendings of reads that were answered, wherever the answer came from, not between their arrivals.

TestNothingIsSentByAnOldRegistry for the single cases.

--- /dev/null
+++ b/internal/dispatcher/data_age_test.go
@@ -0,0 +1,65 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
+	"github.com/oleanderpick/oleanderpick/pkg/registrar"
+)
+
+// Guards against an endpoint being chosen, or sent to, by a registry in which it may have left
+// without this instance knowing, and against callers that wait while the platform is lost.
+func TestNothingIsSentByAnOldRegistry(t *testing.T) {
+	endpoints := []registrar.Endpoint{{ID: "e", Service: "s", Address: "e:1", Slots: 4}}
+	for name, test := range map[string]struct {
+		age       time.Duration // of the registry when the request comes
+		readFails bool          // a read has failed since
+		isRead    bool          // a read ends 100 ms after the request comes
+		isPlaced  bool
+		waits     time.Duration
+	}{
+		"young":                     {age: time.Second, isPlaced: true},
+		"old, platform lost":        {age: 9 * time.Second, readFails: true, isPlaced: true},
+		"old, a read is on its way": {age: 2 * time.Second, isRead: true, isPlaced: true, waits: 100 * time.Millisecond},
+		"old, nothing comes":        {age: 2 * time.Second, waits: 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				sinceBoot := func() time.Duration { return time.Since(start) + time.Hour }
+				d := dispatcher.New(dispatcher.Settings{MaxEndpointsAge: 1750 * time.Millisecond, ReregistrationWindow: 2 * time.Second}, dispatcher.Clock{Now: time.Now, SinceBoot: sinceBoot}, hclog.NewNullLogger())
+				d.ApplyListing(sinceBoot(), 0, endpoints)
+				time.Sleep(test.age)
+				if test.readFails {
+					d.RecordFailedListing(sinceBoot() - time.Second)
+				}
+				if test.isRead {
+					time.AfterFunc(100*time.Millisecond, func() { d.ApplyListing(sinceBoot(), 0, endpoints) })
+				}
+				began := time.Now()
+				placement, ok := d.Place(t.Context(), placer.Request{Service: "s"}, true)
+				assert.Equal(t, ok, test.isPlaced)
+				assert.Equal(t, placement.IsRegistryOld, !test.isPlaced)
+				assert.Equal(t, time.Since(began), test.waits)
+				if !ok {
+					return
+				}
+				isRegistered, isCurrent := d.MaySend(placement)
+				assert.Assert(t, isRegistered && isCurrent)
+				d.ApplyDepartures(sinceBoot(), 0, nil)
+				isRegistered, _ = d.MaySend(placement)
+				assert.Equal(t, isRegistered, test.readFails && test.age > 3*time.Second, "it is kept after an outage")
+				time.Sleep(10 * time.Second)
+				d.RecordFailedListing(sinceBoot() - 9*time.Second)
+				_, isCurrent = d.MaySend(placement)
+				assert.Assert(t, isCurrent, "the platform is lost")
+			})
+		})
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -42,6 +42,9 @@
 	// MinOutage is the silence of the platform after which registrations may have expired
 	// meanwhile; 0 means DefaultMinOutage. It is longer than the usual time between two reads.
 	MinOutage time.Duration
+	// MaxEndpointsAge is the age from which the registered endpoints are not used while the
+	// platform can be read; 0 for no limit.
+	MaxEndpointsAge time.Duration
 	// RepeatLimits limits the repeats of requests that all instances make together.
 	RepeatLimits retrier.RepeatLimiterSettings
 }
@@ -121,6 +124,8 @@
 	hasDepartures       bool          // the registry has departures of a listing that is not the last one
 	listingReadAt       time.Duration // time since boot at which the listing's read was sent
 	listingEpoch        uint64        // epoch of the store in which the listing was read
+	endpointsState      dataState
+	dataRead            chan struct{} // closed at the next end of a read of the platform
 	storeEpoch          uint64        // the highest epoch of the store that is known
 	onLoadChange        func(endpoint string, load placer.Load)
 }
@@ -148,9 +153,11 @@
 		pinner:        pinner.New(settings.Name),
 		onPin:         func(pinner.Pin, []string) {},
 		startedAt:     clock.SinceBoot(),
+		dataRead:      make(chan struct{}),
 		brokenAnswers: map[string][]BrokenAnswer{},
 		onLoadChange:  func(string, placer.Load) {},
 	}
+	d.endpointsState.limit.Max = settings.MaxEndpointsAge
 	d.reach.Store(&reachSummary{})
 
 	return d
@@ -162,6 +169,7 @@
 		d.lease.SetLifetime(settings.KeyLeaseDuration)
 		d.publishLease()
 		d.registry.Configure(settings.registrarSettings())
+		d.endpointsState.limit.Max = settings.MaxEndpointsAge
 		d.repeatLimiter.Configure(d.clock.Now(), settings.RepeatLimits)
 	})
 }
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -165,7 +165,7 @@
 		case d.registry.HasListing() && readAt <= d.listingReadAt:
 		case d.registry.HasListing() && versions.EndpointsDigest == d.listingDigest && !d.hasDepartures:
 			d.listingReadAt = readAt
-			d.recordReachable(d.clock.Now())
+			d.recordReachable(d.clock.Now(), readAt)
 		default:
 			plan.Endpoints = true
 		}
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -76,7 +76,7 @@
 		d.listingReadAt, d.listingEpoch = sentAt, epoch
 		digest := digestEndpoints(endpoints)
 		now := d.clock.Now()
-		silence := d.recordReachable(now)
+		silence := d.recordReachable(now, sentAt)
 		if d.registry.HasListing() && digest == d.listingDigest && !d.hasDepartures {
 			return
 		}
@@ -102,7 +102,7 @@
 			return
 		}
 		now := d.clock.Now()
-		silence := d.recordReachable(now)
+		silence := d.recordReachable(now, sentAt)
 		changes := d.registry.ApplyDepartures(now, endpoints)
 		if len(changes.Draining)+len(changes.Removed)+len(changes.Kept) == 0 {
 			return
@@ -113,11 +113,6 @@
 	})
 }
 
-// RecordFailedListing records that the endpoints could not be read from the platform.
-func (d *Dispatcher) RecordFailedListing() {
-	d.withState(d.registry.RecordFailedRead)
-}
-
 // TakesRequests reports whether an incarnation of an endpoint is registered and not leaving.
 func (d *Dispatcher) TakesRequests(id string, startedUnixMs int64) (takes bool) {
 	d.withState(func() { takes = d.registry.TakesRequests(id, startedUnixMs) })
@@ -125,10 +120,11 @@
 	return takes
 }
 
-// recordReachable records that the registry answered, and logs an outage before that. It
-// returns how long the registry had been silent.
-func (d *Dispatcher) recordReachable(now time.Time) time.Duration {
-	silence, isOutage := d.registry.RecordReachable(now)
+// recordReachable records that the registry answered a read sent at a time since boot, and logs an
+// outage before that. It returns how long the registry had been silent.
+func (d *Dispatcher) recordReachable(now time.Time, sentAt time.Duration) time.Duration {
+	d.signalData()
+	silence, isOutage := d.registry.RecordReachable(now, d.timeOf(sentAt))
 	if isOutage {
 		d.logger.Info("The registry was silent; entries that are missing are kept for a while.", "silent ms", silence.Milliseconds())
 	}
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -20,6 +20,8 @@
 	// RegistryAge is the time since the read that last confirmed the registered endpoints was
 	// sent; negative if there was none.
 	RegistryAge time.Duration
+	// IsRegistryOld is true if no endpoint is chosen because the registry is older than it may be.
+	IsRegistryOld bool
 
 	attemptID uint64
 }
@@ -27,9 +29,13 @@
 // Place chooses an endpoint for a request and counts the request there, unless it is
 // postponed. If the endpoint stated a limit, Place first gets a permit, for which it may
 // have to wait for another instance. It returns false if no endpoint may get the request;
-// RetryAfter is then set if that is because of limits. isFirstAttempt is false for repeats,
+// RetryAfter is then set if that is because of limits, and IsRegistryOld if endpoints may have
+// left that are not known to. isFirstAttempt is false for repeats,
 // which are limited by the number of first attempts.
 func (d *Dispatcher) Place(ctx context.Context, request placer.Request, isFirstAttempt bool) (placement Placement, ok bool) {
+	if !d.awaitRegistry(ctx) {
+		return Placement{IsRegistryOld: true}, false
+	}
 	var need *permitNeed
 	d.withState(func() {
 		if isFirstAttempt {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -1,12 +1,9 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
 	"hash/fnv"
-	"io"
 	"net/http"
-	"net/url"
 	"syscall"
 	"time"
 
@@ -63,10 +60,6 @@
 // answers of a healthy endpoint begin within this time.
 const silenceTimeout = time.Second
 
-// errStaleConfiguration is the cause of an attempt that was stopped before its first
-// byte, since the caller's API key may have been revoked.
-var errStaleConfiguration = errors.New("configuration not confirmed")
-
 // relay sends the request to one endpoint after another until it has its final answer.
 func (r *relayedRequest) relay(ctx context.Context) {
 	for first := true; ; first = false {
@@ -85,6 +78,11 @@
 			}
 		}
 		placement, ok := r.relayer.dispatcher.Place(ctx, r.placementRequest, first)
+		if !ok && placement.IsRegistryOld {
+			r.finishOnOldRegistry(ctx)
+
+			return
+		}
 		if !ok {
 			r.finishUnplaced(ctx, placement.RetryAfter)
 
@@ -128,6 +126,19 @@
 	r.finishUnanswered(ctx, kind, max(capacityRetryAfter, retryAfter))
 }
 
+// finishOnOldRegistry ends a request that may go to no endpoint because the registry is too old.
+// Another instance may know a newer one.
+func (r *relayedRequest) finishOnOldRegistry(ctx context.Context) {
+	kind := answerer.KindStoreDown
+	if r.mayHaveRun {
+		kind = answerer.KindUncertain
+	}
+	if !r.answerStarted {
+		r.w.Header().Set("Connection", "close")
+	}
+	r.finishUnanswered(ctx, kind, reconnectRetryAfter)
+}
+
 // logPostponed logs the placer's estimates by which the request was postponed.
 func (r *relayedRequest) logPostponed(placement dispatcher.Placement) {
 	r.relayer.logger.Info("Postponed.", "request", r.metadata.ID, "route", r.route.Name, "service", r.placementRequest.Service,
@@ -243,65 +254,6 @@
 	}
 }
 
-// sendAndReceive sends the request to the chosen endpoint and forwards its answer.
-func (r *relayedRequest) sendAndReceive(ctx context.Context, a *attempt) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	a.stallDetector = r.startStallDetector(ctx, a.placement, cancel)
-	defer a.stallDetector.stop()
-	if err := r.openConnection(ctx, a); err != nil {
-		r.failUnsent(ctx, a, err)
-
-		return
-	}
-	a.sentAt = time.Now()
-	request := r.outgoingRequest(ctx, a.placement)
-	response, err := a.connection.Send(request, r.checkBeforeSending) //nolint:bodyclose // The body is read to its end or closed with the connection.
-	a.response = response
-	if err != nil {
-		a.mayHaveRun = !errors.Is(err, connector.ErrNotSent)
-		r.failAttempt(ctx, a, err)
-
-		return
-	}
-	r.handleResponse(ctx, a)
-}
-
-// openConnection opens a connection to the chosen endpoint and finds out its version if that
-// is needed.
-func (r *relayedRequest) openConnection(ctx context.Context, a *attempt) (err error) {
-	if a.connection, err = r.relayer.connections.Open(ctx, a.placement.Address); err != nil {
-		return err
-	}
-	if a.connection.IsNew() {
-		r.relayer.dispatcher.RecordConnected(r.placementRequest.Service)
-	}
-
-	return r.checkVersion(ctx, a)
-}
-
-// failUnsent records an attempt that was not sent.
-func (r *relayedRequest) failUnsent(ctx context.Context, a *attempt, cause error) {
-	r.failAttempt(ctx, a, cause)
-	switch {
-	case errors.Is(cause, errOtherVersion), errors.Is(cause, errOtherStart):
-		a.result = placer.Canceled
-	case a.result == placer.Failed:
-		a.result = placer.Unreachable
-		r.relayer.crashes.reportUnreachable(r.placementRequest.Service, a.placement, errors.Is(cause, syscall.ECONNREFUSED))
-	}
-}
-
-// checkBeforeSending returns an error if the request must not be sent after all. It is
-// called right before the first byte of the request is written.
-func (r *relayedRequest) checkBeforeSending() error {
-	if r.requiresKey && !r.relayer.dispatcher.IsConfigurationFresh() {
-		return errStaleConfiguration
-	}
-
-	return nil
-}
-
 // failAttempt records an attempt without an answer to forward and closes its connection.
 func (r *relayedRequest) failAttempt(ctx context.Context, a *attempt, cause error) {
 	a.failureCause = cause
@@ -360,33 +312,3 @@
 
 	return hash.Sum64()
 }
-
-// outgoingRequest returns the request to send to an endpoint.
-func (r *relayedRequest) outgoingRequest(ctx context.Context, placement dispatcher.Placement) *http.Request {
-	forwarding := r.forwarding
-	forwarding.EndpointID = placement.EndpointID
-	forwarding.CacheSourceAddress = placement.CacheSourceAddress
-	forwarding.RemainingTime = time.Until(r.deadline)
-	if r.lastEventID > 0 {
-		forwarding.LastEventID = formatEventID(r.lastEventID)
-	}
-
-	return r.newRequest(ctx, r.relayer.codec.OutgoingHeader(r.incoming.Header, forwarding))
-}
-
-// newRequest returns a request with the caller's method, path and body.
-func (r *relayedRequest) newRequest(ctx context.Context, header http.Header) *http.Request {
-	request := &http.Request{
-		Method: r.incoming.Method,
-		URL:    &url.URL{Scheme: "http", Host: r.incoming.Host, Opaque: r.requestTarget()},
-		Host:   r.incoming.Host,
-		Header: header,
-		Body:   http.NoBody,
-	}
-	if len(r.body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(r.body))
-		request.ContentLength = int64(len(r.body))
-	}
-
-	return request.WithContext(ctx)
-}
--- /dev/null
+++ b/internal/relayer/send.go
@@ -0,0 +1,139 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/oleanderpick/oleanderpick/internal/connector"
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
+)
+
+// errStaleConfiguration is the cause of an attempt that was stopped before its first
+// byte, since the caller's API key may have been revoked.
+var errStaleConfiguration = errors.New("configuration not confirmed")
+
+// errEndpointLeft and errOldRegistry are the causes of attempts that were stopped before their
+// first byte, since the endpoint has left in the meantime or may have.
+var (
+	errEndpointLeft = errors.New("the endpoint has left since it was chosen")
+	errOldRegistry  = errors.New("the registry has become too old since the endpoint was chosen")
+)
+
+// sendAndReceive sends the request to the chosen endpoint and forwards its answer.
+func (r *relayedRequest) sendAndReceive(ctx context.Context, a *attempt) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a.stallDetector = r.startStallDetector(ctx, a.placement, cancel)
+	defer a.stallDetector.stop()
+	if err := r.openConnection(ctx, a); err != nil {
+		r.failUnsent(ctx, a, err)
+
+		return
+	}
+	a.sentAt = time.Now()
+	request := r.outgoingRequest(ctx, a.placement)
+	response, err := a.connection.Send(request, func() error { return r.checkEndpoint(a.placement) }) //nolint:bodyclose // The body is read to its end or closed with the connection.
+	a.response = response
+	if errors.Is(err, errEndpointLeft) || errors.Is(err, errOldRegistry) {
+		a.sentAt = time.Time{}
+		r.failUnsent(ctx, a, err)
+
+		return
+	}
+	if err != nil {
+		a.mayHaveRun = !errors.Is(err, connector.ErrNotSent)
+		r.failAttempt(ctx, a, err)
+
+		return
+	}
+	r.handleResponse(ctx, a)
+}
+
+// openConnection opens a connection to the chosen endpoint and finds out its version if that
+// is needed.
+func (r *relayedRequest) openConnection(ctx context.Context, a *attempt) (err error) {
+	if a.connection, err = r.relayer.connections.Open(ctx, a.placement.Address); err != nil {
+		return err
+	}
+	if a.connection.IsNew() {
+		r.relayer.dispatcher.RecordConnected(r.placementRequest.Service)
+	}
+
+	return r.checkVersion(ctx, a)
+}
+
+// failUnsent records an attempt that was not sent.
+func (r *relayedRequest) failUnsent(ctx context.Context, a *attempt, cause error) {
+	r.failAttempt(ctx, a, cause)
+	switch {
+	case errors.Is(cause, errOtherVersion), errors.Is(cause, errOtherStart), errors.Is(cause, errEndpointLeft), errors.Is(cause, errOldRegistry):
+		a.result = placer.Canceled
+	case a.result == placer.Failed:
+		a.result = placer.Unreachable
+		r.relayer.crashes.reportUnreachable(r.placementRequest.Service, a.placement, errors.Is(cause, syscall.ECONNREFUSED))
+	}
+}
+
+// checkBeforeSending returns an error if the request must not be sent after all. It is
+// called right before the first byte of the request is written.
+func (r *relayedRequest) checkBeforeSending() error {
+	if r.requiresKey && !r.relayer.dispatcher.IsConfigurationFresh() {
+		return errStaleConfiguration
+	}
+
+	return nil
+}
+
+// checkEndpoint is checkBeforeSending for a request to an endpoint, which may have left since it was
+// chosen.
+func (r *relayedRequest) checkEndpoint(placement dispatcher.Placement) error {
+	if err := r.checkBeforeSending(); err != nil {
+		return err
+	}
+	switch isRegistered, isCurrent := r.relayer.dispatcher.MaySend(placement); {
+	case !isRegistered:
+		return errEndpointLeft
+	case !isCurrent:
+		return errOldRegistry
+	}
+
+	return nil
+}
+
+// outgoingRequest returns the request to send to an endpoint.
+func (r *relayedRequest) outgoingRequest(ctx context.Context, placement dispatcher.Placement) *http.Request {
+	forwarding := r.forwarding
+	forwarding.EndpointID = placement.EndpointID
+	forwarding.CacheSourceAddress = placement.CacheSourceAddress
+	forwarding.RemainingTime = time.Until(r.deadline)
+	if r.lastEventID > 0 {
+		forwarding.LastEventID = formatEventID(r.lastEventID)
+	}
+
+	return r.newRequest(ctx, r.relayer.codec.OutgoingHeader(r.incoming.Header, forwarding))
+}
+
+// newRequest returns a request with the caller's method, path and body.
+func (r *relayedRequest) newRequest(ctx context.Context, header http.Header) *http.Request {
+	request := &http.Request{
+		Method: r.incoming.Method,
+		URL:    &url.URL{Scheme: "http", Host: r.incoming.Host, Opaque: r.requestTarget()},
+		Host:   r.incoming.Host,
+		Header: header,
+		Body:   http.NoBody,
+	}
+	if len(r.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(r.body))
+		request.ContentLength = int64(len(r.body))
+	}
+
+	return request.WithContext(ctx)
+}
--- a/internal/relayrunner/reload.go
+++ b/internal/relayrunner/reload.go
@@ -15,6 +15,11 @@
 	// keyLeaseMargin is subtracted from the lease on API keys. It covers the time that a
 	// request takes to reach an endpoint after its key was checked.
 	keyLeaseMargin = 150 * time.Millisecond
+	// sendMargin is subtracted from the time in which an endpoint that leaves gets no more
+	// requests, or a share of that time if it is less. It covers the time in which a request
+	// reaches an endpoint.
+	sendMargin      = 250 * time.Millisecond
+	sendMarginShare = 8
 	// goMemoryFraction is the fraction of the process's memory that Go's heap and stacks
 	// may use before the garbage collector runs more often.
 	goMemoryFraction = 0.5
@@ -45,12 +50,18 @@
 		KeyLeaseDuration:     settings.KeyLeaseDuration - keyLeaseMargin,
 		ReregistrationWindow: settings.ReregistrationWindow,
 		MinOutage:            time.Duration(scaleFor(settings.DrainLimit) * float64(dispatcher.DefaultMinOutage)),
+		MaxEndpointsAge:      maxAge(settings.DrainLimit),
 		RepeatLimits: retrier.RepeatLimiterSettings{
 			Window: settings.RepeatWindow, RepeatRatio: settings.RepeatRatio, Burst: settings.RepeatBurst,
 		},
 	}
 }
 
+// maxAge returns the age from which data is not used if changes must take effect within a limit.
+func maxAge(limit time.Duration) time.Duration {
+	return limit - min(sendMargin, limit/sendMarginShare)
+}
+
 // limitMemory sets Go's soft memory limit to a fraction of the process's memory, which is
 // given in megabytes; 0 sets no limit.
 func limitMemory(megabytes int) {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -57,8 +57,9 @@
 	// ApplyListing applies a list of all endpoints, read in an epoch of the store by calls
 	// of which the first was sent at the given time.
 	ApplyListing(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint)
-	// RecordFailedListing records that the endpoints could not be read.
-	RecordFailedListing()
+	// RecordFailedListing records that the endpoints could not be read by a call that was sent
+	// at the given time.
+	RecordFailedListing(sentAt time.Duration)
 	// ApplyDepartures applies of such a list only what it says of endpoints in use.
 	ApplyDepartures(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint)
 }
@@ -221,7 +222,7 @@
 	for after, more := "", true; more; {
 		page, err := w.store.List(ctx, w.decoder.EndpointKind(), after, 0)
 		if err != nil {
-			w.control.RecordFailedListing()
+			w.control.RecordFailedListing(sentAt)
 
 			return err
 		}
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -67,8 +67,8 @@
 	settings         Settings
 	entries          map[string]Endpoint // by ID
 	missing          map[string]bool     // IDs of entries kept after an outage
-	lastReachable    time.Time           // time of the registry's last answer
-	hasFailedRead    bool                // a read has failed since
+	lastReadAt       time.Time           // when the last read that was answered was sent
+	failedReadAt     time.Time           // when the last read that failed was sent
 	keepMissingUntil time.Time           // end of the reregistration window
 	isRestored       bool                // the window follows a return from an older copy
 	heldBack         map[string]Endpoint // entries of the copy that are not used in the window, by ID
@@ -101,23 +101,27 @@
 	r.settings = settings
 }
 
-// RecordFailedRead records that a read of the registry failed.
-func (r *Registrar) RecordFailedRead() {
-	r.hasFailedRead = true
+// RecordFailedRead records that a read of the registry failed that was sent at a time.
+func (r *Registrar) RecordFailedRead(readAt time.Time) {
+	r.failedReadAt = readAt
 }
 
-// RecordReachable records that the registry answered. If that ends an outage, missing entries
-// are kept from now on for ReregistrationWindow. It returns how long it had been silent, and whether that counts as an
-// outage.
-func (r *Registrar) RecordReachable(now time.Time) (silence time.Duration, isOutage bool) {
+// RecordReachable records that the registry answered a read that was sent at a time. If that ends
+// an outage, missing entries are kept from now on for ReregistrationWindow. It returns the time
+// between the sending of this read and of the one that was answered before, and whether that counts
+// as an outage. A read that was sent before that one changes nothing.
+func (r *Registrar) RecordReachable(now, readAt time.Time) (silence time.Duration, isOutage bool) {
+	if r.hasListing && !readAt.After(r.lastReadAt) {
+		return 0, false
+	}
 	if r.hasListing {
-		silence = now.Sub(r.lastReachable)
+		silence = readAt.Sub(r.lastReadAt)
 	}
-	isOutage = silence > entryLifetime || (r.hasFailedRead && silence > r.settings.MinOutage)
+	isOutage = silence > entryLifetime || (silence > r.settings.MinOutage && r.failedReadAt.After(r.lastReadAt))
 	if isOutage {
 		r.keepMissingUntil = now.Add(r.settings.ReregistrationWindow)
 	}
-	r.lastReachable, r.hasFailedRead = now, false
+	r.lastReadAt = readAt
 
 	return silence, isOutage
 }
--- a/pkg/registrar/registrar_test.go
+++ b/pkg/registrar/registrar_test.go
@@ -31,7 +31,7 @@
 
 // applyListing applies a listing that the registry answered at a time after start.
 func applyListing(r *registrar.Registrar, sinceStart time.Duration, endpoints ...registrar.Endpoint) {
-	r.RecordReachable(start.Add(sinceStart))
+	r.RecordReachable(start.Add(sinceStart), start.Add(sinceStart))
 	r.ApplyListing(start.Add(sinceStart), endpoints)
 }
 
@@ -83,10 +83,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := registrar.New(settings)
-			r.RecordFailedRead()
+			r.RecordFailedRead(start.Add(-time.Millisecond))
 			applyListing(r, 0, endpointA, endpointB)
 			if test.fails {
-				r.RecordFailedRead()
+				r.RecordFailedRead(start.Add(time.Second))
 			}
 			applyListing(r, test.silence, endpointA)
 			assert.Equal(t, endpointIDs(r), test.want)
@@ -138,7 +138,7 @@
 func TestOnlyVersionCountsEndpointsThatLeftShortlyBefore(t *testing.T) {
 	r := registrar.New(registrar.Settings{})
 	list := func(now time.Time, endpoints ...registrar.Endpoint) {
-		r.RecordReachable(now)
+		r.RecordReachable(now, now)
 		r.ApplyListing(now, endpoints)
 	}
 	endpoint := func(id, version string, startedUnixMs int64) registrar.Endpoint {
--- a/pkg/registrar/restored_test.go
+++ b/pkg/registrar/restored_test.go
@@ -24,7 +24,7 @@
 	now := time.Unix(1000, 0)
 	r := registrar.New(registrar.Settings{ReregistrationWindow: window, MinOutage: 1500 * time.Millisecond})
 	apply := func(endpoints ...registrar.Endpoint) {
-		r.RecordReachable(now)
+		r.RecordReachable(now, now)
 		r.ApplyListing(now, endpoints)
 	}
 	apply(incarnation("left", 1, false), incarnation("drains", 1, false), incarnation("restarted", 1, false))
@@ -60,7 +60,7 @@
 				listed = append(listed, e)
 			}
 			r.RemoveExpired(now)
-			r.RecordReachable(now)
+			r.RecordReachable(now, now)
 			r.ApplyListing(now, listed)
 			after := map[string]registrar.Endpoint{}
 			for _, e := range r.Endpoints() {
