dispatcher, relayer: Handle no request by a configuration older than the limit

Nothing limited the age of the configuration but the lease on keys, which is 4.85 s: until then requests were routed by it, and a 404 or 401 was final.

A request waits for the read that is on its way if the configuration is older than the site's limit less a quarter of a second, and is refused as not run after half a second; if the platform is lost, the configuration is used as before. A 404 or 401 is given only by one that is young enough, also while the platform is lost.

--- a/internal/dispatcher/data_age.go
+++ b/internal/dispatcher/data_age.go
@@ -33,6 +33,15 @@
 	})
 }
 
+// RecordFailedConfiguration records that a read of the configuration, sent at the given time since
+// boot, failed.
+func (d *Dispatcher) RecordFailedConfiguration(sentAt time.Duration) {
+	d.withState(func() {
+		d.configurationState.failedAt, d.configurationState.hasFail = sentAt, true
+		d.signalData()
+	})
+}
+
 // timeOf returns the time of a reading of the clock that counts from boot.
 func (d *Dispatcher) timeOf(sinceBoot time.Duration) time.Time {
 	return d.clock.Now().Add(sinceBoot - d.clock.SinceBoot())
@@ -56,6 +65,28 @@
 	return d.awaitData(ctx, d.isRegistryCurrent)
 }
 
+// AwaitConfiguration waits for a read of the configuration if the one that is known is too old, for
+// maxDataWait at the longest. It reports whether requests may be handled by it.
+func (d *Dispatcher) AwaitConfiguration(ctx context.Context) bool {
+	return d.awaitData(ctx, func() bool {
+		now := d.clock.SinceBoot()
+		age, isConfirmed := d.lease.Age(now)
+
+		return !isConfirmed || d.configurationState.allows(now, now-age)
+	})
+}
+
+// IsConfigurationYoung reports whether the configuration was confirmed so recently that a change of
+// it would be known, or need not be in force yet.
+func (d *Dispatcher) IsConfigurationYoung() (isYoung bool) {
+	d.withState(func() {
+		age, isConfirmed := d.lease.Age(d.clock.SinceBoot())
+		isYoung = isConfirmed && d.configurationState.limit.Allows(age, false)
+	})
+
+	return isYoung
+}
+
 // awaitData waits until data is current by a function that is called with the lock.
 func (d *Dispatcher) awaitData(ctx context.Context, isCurrent func() bool) bool {
 	var timeout <-chan time.Time
--- a/internal/dispatcher/data_age_test.go
+++ b/internal/dispatcher/data_age_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/pkg/matcher"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 )
@@ -63,3 +64,30 @@
 		})
 	}
 }
+
+// Guards against requests that are handled by a configuration that has been replaced for longer than a
+// change may take, and against a 404 by it, also while the platform is lost.
+func TestNothingIsDecidedByAnOldConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		sinceBoot := func() time.Duration { return time.Since(start) + time.Hour }
+		d := dispatcher.New(dispatcher.Settings{MaxConfigurationAge: 2750 * time.Millisecond, KeyLeaseDuration: 5 * time.Second}, dispatcher.Clock{Now: time.Now, SinceBoot: sinceBoot}, hclog.NewNullLogger())
+		apply := func() {
+			d.ApplyConfiguration(sinceBoot(), matcher.New(matcher.Configuration{Number: 3}), dispatcher.StoredConfiguration{})
+		}
+		assert.Assert(t, d.AwaitConfiguration(t.Context()), "there is none to wait for")
+		apply()
+		time.Sleep(2700 * time.Millisecond)
+		assert.Assert(t, d.AwaitConfiguration(t.Context()) && d.IsConfigurationYoung())
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, !d.IsConfigurationYoung())
+		began := time.Now()
+		assert.Assert(t, !d.AwaitConfiguration(t.Context()))
+		assert.Equal(t, time.Since(began), 500*time.Millisecond)
+		time.AfterFunc(100*time.Millisecond, func() { d.RecordFailedConfiguration(sinceBoot() - time.Second) })
+		assert.Assert(t, d.AwaitConfiguration(t.Context()), "the platform is lost")
+		assert.Assert(t, !d.IsConfigurationYoung())
+		apply()
+		assert.Assert(t, d.AwaitConfiguration(t.Context()) && d.IsConfigurationYoung())
+	})
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -42,9 +42,9 @@
 	// MinOutage is the silence of the platform after which registrations may have expired
 	// meanwhile; 0 means DefaultMinOutage. It is longer than the usual time between two reads.
 	MinOutage time.Duration
-	// MaxEndpointsAge is the age from which the registered endpoints are not used while the
-	// platform can be read; 0 for no limit.
-	MaxEndpointsAge time.Duration
+	// MaxConfigurationAge and MaxEndpointsAge are the ages from which the configuration and the
+	// registered endpoints are not used while the platform can be read; 0 for no limit.
+	MaxConfigurationAge, MaxEndpointsAge time.Duration
 	// RepeatLimits limits the repeats of requests that all instances make together.
 	RepeatLimits retrier.RepeatLimiterSettings
 }
@@ -124,6 +124,7 @@
 	hasDepartures       bool          // the registry has departures of a listing that is not the last one
 	listingReadAt       time.Duration // time since boot at which the listing's read was sent
 	listingEpoch        uint64        // epoch of the store in which the listing was read
+	configurationState  dataState
 	endpointsState      dataState
 	dataRead            chan struct{} // closed at the next end of a read of the platform
 	storeEpoch          uint64        // the highest epoch of the store that is known
@@ -157,7 +158,7 @@
 		brokenAnswers: map[string][]BrokenAnswer{},
 		onLoadChange:  func(string, placer.Load) {},
 	}
-	d.endpointsState.limit.Max = settings.MaxEndpointsAge
+	d.configurationState.limit.Max, d.endpointsState.limit.Max = settings.MaxConfigurationAge, settings.MaxEndpointsAge
 	d.reach.Store(&reachSummary{})
 
 	return d
@@ -169,7 +170,7 @@
 		d.lease.SetLifetime(settings.KeyLeaseDuration)
 		d.publishLease()
 		d.registry.Configure(settings.registrarSettings())
-		d.endpointsState.limit.Max = settings.MaxEndpointsAge
+		d.configurationState.limit.Max, d.endpointsState.limit.Max = settings.MaxConfigurationAge, settings.MaxEndpointsAge
 		d.repeatLimiter.Configure(d.clock.Now(), settings.RepeatLimits)
 	})
 }
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -56,6 +56,7 @@
 func (d *Dispatcher) confirmLease(sentAt time.Duration) {
 	d.lease.Confirm(sentAt)
 	d.publishLease()
+	d.signalData()
 }
 
 // publishLease copies the lease for the goroutines that relay requests.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -178,9 +178,13 @@
 // returns an error if the request must be refused, also if the configuration is older than
 // minConfiguration.
 func (r *relayedRequest) admit(minConfiguration uint64) *answerer.Error {
-	if r.awaitConfiguration(); r.matcher == nil {
+	isCurrent := r.awaitConfiguration()
+	if r.matcher == nil {
 		return answerer.New(answerer.KindNoConfiguration, "No configuration is known yet.").WithRetryAfter(startRetryAfter)
 	}
+	if !isCurrent {
+		return r.staleConfigurationError()
+	}
 	if r.matcher.Number() < minConfiguration {
 		return answerer.New(answerer.KindNoConfiguration, "The configuration is older than the peer's.").WithRetryAfter(reconnectRetryAfter)
 	}
@@ -218,9 +222,10 @@
 	return r.incoming.URL.RequestURI()
 }
 
-// awaitConfiguration waits until a starting instance has read its configuration.
+// awaitConfiguration waits until a starting instance has read its configuration, or for a younger
+// one. It reports whether the request may be handled by it.
 // The wait is short compared to the time that a refused caller takes to come back.
-func (r *relayedRequest) awaitConfiguration() {
+func (r *relayedRequest) awaitConfiguration() bool {
 	dispatch := r.relayer.dispatcher
 	select {
 	case <-dispatch.Initialized():
@@ -233,14 +238,17 @@
 		case <-timer.C:
 		}
 	}
+	isCurrent := dispatch.AwaitConfiguration(r.incoming.Context())
 	r.matcher = dispatch.Matcher()
+
+	return isCurrent
 }
 
 // errorIfFresh returns err if the configuration is known to be the newest one.
 // Otherwise it returns an error that lets the caller retry, since a newer
 // configuration may allow what this one does not.
 func (r *relayedRequest) errorIfFresh(err *answerer.Error) *answerer.Error {
-	if r.relayer.dispatcher.IsConfigurationFresh() {
+	if r.relayer.dispatcher.IsConfigurationFresh() && r.relayer.dispatcher.IsConfigurationYoung() {
 		return err
 	}
 
--- a/internal/relayrunner/reload.go
+++ b/internal/relayrunner/reload.go
@@ -15,9 +15,9 @@
 	// keyLeaseMargin is subtracted from the lease on API keys. It covers the time that a
 	// request takes to reach an endpoint after its key was checked.
 	keyLeaseMargin = 150 * time.Millisecond
-	// sendMargin is subtracted from the time in which an endpoint that leaves gets no more
-	// requests, or a share of that time if it is less. It covers the time in which a request
-	// reaches an endpoint.
+	// sendMargin is subtracted from the times in which an endpoint that leaves gets no more
+	// requests and in which a change is in force, or a share of that time if it is less. It covers
+	// the time in which a request reaches an endpoint.
 	sendMargin      = 250 * time.Millisecond
 	sendMarginShare = 8
 	// goMemoryFraction is the fraction of the process's memory that Go's heap and stacks
@@ -50,6 +50,7 @@
 		KeyLeaseDuration:     settings.KeyLeaseDuration - keyLeaseMargin,
 		ReregistrationWindow: settings.ReregistrationWindow,
 		MinOutage:            time.Duration(scaleFor(settings.DrainLimit) * float64(dispatcher.DefaultMinOutage)),
+		MaxConfigurationAge:  maxAge(settings.ChangeLimit),
 		MaxEndpointsAge:      maxAge(settings.DrainLimit),
 		RepeatLimits: retrier.RepeatLimiterSettings{
 			Window: settings.RepeatWindow, RepeatRatio: settings.RepeatRatio, Burst: settings.RepeatBurst,
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -57,6 +57,9 @@
 	// ApplyListing applies a list of all endpoints, read in an epoch of the store by calls
 	// of which the first was sent at the given time.
 	ApplyListing(sentAt time.Duration, epoch uint64, endpoints []registrar.Endpoint)
+	// RecordFailedConfiguration records that the configuration could not be read by a call that was
+	// sent at the given time.
+	RecordFailedConfiguration(sentAt time.Duration)
 	// RecordFailedListing records that the endpoints could not be read by a call that was sent
 	// at the given time.
 	RecordFailedListing(sentAt time.Duration)
@@ -198,11 +201,15 @@
 	sentAt := w.control.SinceBoot()
 	object, err := w.store.Get(ctx, kind, name)
 	if err != nil {
+		w.control.RecordFailedConfiguration(sentAt)
+
 		return err
 	}
 	if w.lastConfiguration == nil || object.Version != w.lastVersion || object.Epoch != w.lastEpoch {
 		decoded, err := w.decoder.DecodeConfiguration(object)
 		if err != nil {
+			w.control.RecordFailedConfiguration(sentAt)
+
 			return err
 		}
 		w.lastConfiguration, w.lastVersion, w.lastEpoch = matcher.New(decoded), object.Version, object.Epoch
