storer, platform: Decode each entry of a list by itself

Callers: while one odd entry stood among those of the endpoints, instances followed neither endpoints that leave nor new ones, and one that started was never ready.

Cause: a listing or watch was decoded as one JSON document, and the decoder gives up on all of it when one entry is nested more than 10,000 levels deep. A page of which nothing could be decoded ended the listing as if it were whole.

--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -201,10 +201,7 @@
 				addresses = append(addresses, decoded.Address)
 			}
 		}
-		more = page.HasMore && len(page.Items) > 0
-		if more {
-			after = page.Items[len(page.Items)-1].Name
-		}
+		more, after = page.HasMore, page.LastName
 	}
 	a.isListed = isListed
 	a.addAddresses(addresses)
--- a/internal/publisher/collector.go
+++ b/internal/publisher/collector.go
@@ -97,9 +97,8 @@
 		replacement.lowestCounter, replacement.highestCounter = min(replacement.lowestCounter, page.StoreCounter), max(replacement.highestCounter, page.StoreCounter)
 		for _, object := range page.Items {
 			replacement.objects[object.Name] = object
-			afterName = object.Name
 		}
-		more = page.HasMore && len(page.Items) > 0
+		more, afterName = page.HasMore, page.LastName
 	}
 	c.replaceKind(kind, replacement)
 	return replacement.lowestCounter, nil
--- a/internal/publisher/revisions.go
+++ b/internal/publisher/revisions.go
@@ -213,9 +213,8 @@
 			}
 			for _, object := range page.Items {
 				storedVersions[object.Name] = object.Version
-				afterName = object.Name
 			}
-			more = page.HasMore && len(page.Items) > 0
+			more, afterName = page.HasMore, page.LastName
 		}
 		p.enqueueForTerm(t, func(time.Time) { p.performReviserActions(p.reviser.DeleteUnusedParts(storedVersions)) })
 	})
--- a/internal/publisher/store.go
+++ b/internal/publisher/store.go
@@ -64,8 +64,10 @@
 	// StoreCounter is the value of the store's write counter at the time of the listing.
 	StoreCounter uint64
 	Items        []Object
-	// HasMore is true if the listing has further pages.
-	HasMore bool
+	// HasMore is true if the listing has further pages, and LastName the name after which the
+	// next one begins.
+	HasMore  bool
+	LastName string
 }
 
 // Changes are the changes to the objects of one kind after a value of the store's
--- a/internal/publisher/store_test.go
+++ b/internal/publisher/store_test.go
@@ -89,6 +89,7 @@
 			break
 		}
 		page.Items = append(page.Items, m.objects[key])
+		page.LastName = key.Name
 	}
 	return page, nil
 }
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -178,7 +178,6 @@
 			return nil, errors.Wrap(err, "list reports")
 		}
 		for _, object := range page.Items {
-			afterName = object.Name
 			age := r.ageOf(object)
 			ages[object.Name] = age
 			var report summarizer.Report
@@ -194,6 +193,7 @@
 		if !page.HasMore {
 			break
 		}
+		afterName = page.LastName
 	}
 	r.reportAges = ages
 
--- a/internal/runner/store.go
+++ b/internal/runner/store.go
@@ -35,7 +35,7 @@
 func (a storeAdapter) List(ctx context.Context, kind, after string) (publisher.Page, error) {
 	page, err := a.client.List(ctx, kind, after, listPageSize)
 
-	return publisher.Page{StoreCounter: page.StoreCounter, Items: convertObjects(page.Items), HasMore: page.HasMore}, convertError(err)
+	return publisher.Page{StoreCounter: page.StoreCounter, Items: convertObjects(page.Items), HasMore: page.HasMore, LastName: page.LastName}, convertError(err)
 }
 
 // Put writes the spec of an object if the condition holds.
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -91,11 +91,14 @@
 }
 
 // List returns up to limit objects of a kind whose names come after afterName, in the
-// order of their names. A platform may return fewer.
+// order of their names. A platform may return fewer. Objects that cannot be decoded are left out.
 func (c *Client) List(ctx context.Context, kind, afterName string, limit int) (Page, error) {
 	var page Page
 	_, err := c.call(ctx, Call{Verb: List, Kind: kind, AfterName: afterName, MaxItems: limit}, func(epoch uint64, body []byte) (err error) {
 		page, err = c.dialect.DecodePage(kind, body)
+		if err == nil && page.HasMore && (page.LastName == "" || page.LastName == afterName) {
+			err = errors.New("no name after which the next page begins can be decoded")
+		}
 		page.Epoch = epoch
 		for i := range page.Items {
 			page.Items[i].Epoch = epoch
--- a/internal/storer/dialect.go
+++ b/internal/storer/dialect.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/oleanderpick/oleanderpick/internal/common/splitter"
 )
 
 // Verb is the operation of a call.
@@ -157,6 +159,17 @@
 	return nil
 }
 
+// decodeAll decodes values one by one, so that one that cannot be decoded does not spoil the
+// others. It calls use with each that can be decoded.
+func decodeAll[V any](values []json.RawMessage, use func(V)) {
+	for _, encoded := range values {
+		var value V
+		if json.Unmarshal(encoded, &value) == nil {
+			use(value)
+		}
+	}
+}
+
 // DecodeObject decodes an answer that contains one object.
 func (nativeDialect) DecodeObject(_ string, body []byte) (object Object, err error) {
 	err = json.Unmarshal(body, &object)
@@ -166,16 +179,59 @@
 
 // DecodePage decodes the answer of a listing.
 func (nativeDialect) DecodePage(_ string, body []byte) (page Page, err error) {
-	err = json.Unmarshal(body, &page)
+	fields, err := splitter.Fields(body)
+	if err != nil {
+		return Page{}, err
+	}
+	items, err := splitter.Elements(fields["items"])
+	if err != nil {
+		return Page{}, err
+	}
+	delete(fields, "items")
+	if err := decodeRest(fields, &page); err != nil {
+		return Page{}, err
+	}
+	page.Items = make([]Object, 0, len(items))
+	decodeAll(items, func(object Object) { page.Items = append(page.Items, object) })
+	for _, item := range items {
+		if itemFields, err := splitter.Fields(item); err == nil {
+			var name string
+			if json.Unmarshal(itemFields["name"], &name) == nil {
+				page.LastName = name
+			}
+		}
+	}
+
+	return page, nil
+}
+
+// decodeRest decodes the fields that are left of an object into a value.
+func decodeRest(fields map[string]json.RawMessage, value any) error {
+	rest, err := json.Marshal(fields)
+	if err != nil {
+		return err
+	}
 
-	return page, err
+	return json.Unmarshal(rest, value)
 }
 
 // DecodeChanges decodes the answer of a watch of a whole kind.
 func (nativeDialect) DecodeChanges(_ string, body []byte) (changes Changes, err error) {
-	err = json.Unmarshal(body, &changes)
+	fields, err := splitter.Fields(body)
+	if err != nil {
+		return Changes{}, err
+	}
+	items, err := splitter.Elements(fields["items"])
+	if err != nil {
+		return Changes{}, err
+	}
+	delete(fields, "items")
+	if err := decodeRest(fields, &changes); err != nil {
+		return Changes{}, err
+	}
+	decodeAll(items, func(object Object) { changes.Items = append(changes.Items, object) })
 
-	return changes, err
+	return changes, nil
 }
 
 // Epoch returns 0, because the stand-in never loses a write.
--- a/internal/storer/object.go
+++ b/internal/storer/object.go
@@ -25,8 +25,10 @@
 	// StoreCounter is the value of the store's write counter at the time of the listing.
 	StoreCounter uint64   `json:"revision"`
 	Items        []Object `json:"items"`
-	// HasMore is true if the listing has further pages.
-	HasMore bool `json:"more"`
+	// HasMore is true if the listing has further pages, and LastName the name after which the
+	// next one begins. It may be that of an object that cannot be decoded and is not in Items.
+	HasMore  bool   `json:"more"`
+	LastName string `json:"-"`
 	// Epoch is the store's epoch at the time of the listing.
 	Epoch uint64 `json:"-"`
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -246,10 +246,7 @@
 			}
 			endpoints = append(endpoints, endpoint)
 		}
-		more = page.HasMore && len(page.Items) > 0
-		if more {
-			after = page.Items[len(page.Items)-1].Name
-		}
+		more, after = page.HasMore, page.LastName
 	}
 	// New endpoints may wait for the record of versions, those that leave must not.
 	w.control.ApplyDepartures(sentAt, epoch, endpoints)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -61,7 +61,7 @@
 		return storer.Page{Items: []storer.Object{{Name: "new"}}}, nil
 	}
 	if after == "" {
-		return storer.Page{Items: []storer.Object{{Name: "a"}, {Name: "bad"}}, HasMore: true}, nil
+		return storer.Page{Items: []storer.Object{{Name: "a"}, {Name: "bad"}}, HasMore: true, LastName: "bad"}, nil
 	}
 
 	return storer.Page{Items: []storer.Object{{Name: "c"}}}, nil
