relayer, connector: Let an earlier refusal say nothing of this request

Callers: a booking ran at two endpoints, or its caller was told 'not run, try again' while an endpoint was running it, because a faulty endpoint wrote an earlier refusal once more on a kept connection.

Cause: an answer with another request's ID that was marked as not run counted as 'this one has not run', and status 421 counted whatever ID it had. A repeat could also go to the same endpoint on the connection of its first try, where a copy of the first refusal has the right ID.

Change: only an answer that states the request's own ID, or states none and is the first one on its connection, can say that the request has not run or which limits hold. A repeat at an endpoint that was tried has a connection of its own. Requests that are passed on: only the marks of an instance, or the 404 of an older one, say that a peer has not taken the request.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -133,6 +133,7 @@
 	expiresAt time.Time
 	isReused  bool
 	isNew     bool
+	sent      int // requests
 	// endpointStart is when the endpoint at the other end started; nil if unknown.
 	endpointStart *int64
 }
@@ -214,6 +215,12 @@
 	c.endpointStart = &unixMs
 }
 
+// IsFirstRequest reports whether the last request that was sent was the first one on the connection.
+// Its answer cannot be that of an earlier one.
+func (c *Connection) IsFirstRequest() bool {
+	return c.sent == 1
+}
+
 // IsReused reports whether the connection has carried a request before.
 func (c *Connection) IsReused() bool {
 	return c.isReused
@@ -224,6 +231,7 @@
 // stops the request. The error wraps ErrNotSent if no byte of the request was sent. On
 // an error the connection is closed.
 func (c *Connection) Send(request *http.Request, beforeFirstByte func() error) (*http.Response, error) {
+	c.sent++
 	writtenBefore := c.conn.writtenBytes.Load()
 	c.conn.callBeforeNextWrite(beforeFirstByte)
 	response, err := c.client.RoundTrip(request)
--- a/internal/relayer/peer.go
+++ b/internal/relayer/peer.go
@@ -22,7 +22,7 @@
 	// configurationHeader states the number of the configuration that the peer applied.
 	configurationHeader = "Oleanderpick-Configuration"
 	// elsewhereHeader states in each answer to a request that was passed on whether another
-	// instance may serve the request. A peer that does not know such requests sets none.
+	// instance may serve the request. A peer that does not know such requests sets none and answers 404.
 	elsewhereHeader = "Oleanderpick-Elsewhere"
 )
 
@@ -129,10 +129,16 @@
 		return
 	}
 	a.response = response
-	if response.Header.Get(elsewhereHeader) != isFinal {
+	switch elsewhere := response.Header.Get(elsewhereHeader); {
+	case elsewhere == tryElsewhere || (elsewhere == "" && response.StatusCode == http.StatusNotFound):
 		a.failureCause = errElsewhere
 		r.discardResponse(a)
 
+		return
+	case elsewhere != isFinal: // No instance answers so; the request may have reached something else.
+		a.mayHaveRun = true
+		r.failAttempt(ctx, a, errors.New("the answer is not that of an instance"))
+
 		return
 	}
 	response.Header.Del(elsewhereHeader)
--- a/internal/relayer/raw_connection_test.go
+++ b/internal/relayer/raw_connection_test.go
@@ -196,3 +196,61 @@
 		assert.NilError(t, conn.Close())
 	})
 }
+
+// Guards against a request that runs twice, or whose caller is told that it has not run, because an
+// endpoint wrote an earlier refusal once more on a kept connection: with the ID of the request that it
+// refused, with none, or with that of the same request.
+func TestEarlierRefusalSaysNothingOfThisRequest(t *testing.T) {
+	refusal := func(status int, id string) string {
+		return fmt.Sprintf("HTTP/1.1 %d Refused\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nno", status, id)
+	}
+	for name, extra := range map[string]string{
+		"earlier ID": refusal(503, "r0"), "no ID": refusal(503, ""), "429": refusal(429, "r0"), "misdirected": refusal(421, "r0"), "misdirected, no ID": refusal(421, ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithHarness(t, func(t *testing.T, h *harness) {
+				h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+					for request := h.readRawRequest(reader); request != nil; request = h.readRawRequest(reader) {
+						if id := request.Header.Get("X-Id"); id != "r1" {
+							writeRawResponse(conn, id, "own")
+
+							continue
+						}
+						_, _ = io.WriteString(conn, extra) // While the endpoint runs the request.
+					}
+				})
+				for i, want := range []int{http.StatusOK, http.StatusBadGateway} {
+					request := h.newRequest(http.MethodPost, "/once/x", "body")
+					request.Header.Set("X-Id", fmt.Sprint("r", i))
+					response, body, err := h.send(request)
+					assert.NilError(t, err)
+					assert.Equal(t, response.StatusCode, want, body)
+				}
+				assert.Equal(t, h.arrivalCount(), 2, "each request ran once")
+			})
+		})
+	}
+}
+
+// Guards against a refusal that an endpoint writes twice: its copy must not answer the repeat of the
+// same request, which has the same ID.
+func TestRepeatedRefusalDoesNotAnswerTheRepeat(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		connections := 0
+		h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+			connections++
+			isFirst := connections == 1
+			for request := h.readRawRequest(reader); request != nil; request = h.readRawRequest(reader) {
+				if id := request.Header.Get("X-Id"); !isFirst {
+					writeRawResponse(conn, id, "own")
+				} else {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nno", id)
+				}
+			}
+		})
+		response, body, err := h.send(h.newRequest(http.MethodPost, "/once/x", "body"))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK, body)
+		assert.Equal(t, connections, 2, "the repeat has a connection of its own")
+	})
+}
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -18,18 +18,19 @@
 func (r *relayedRequest) handleResponse(ctx context.Context, a *attempt) {
 	metadata := r.relayer.codec.ParseResponse(a.response.StatusCode, a.response.Header)
 	a.endpointLoad, a.rateLimit = metadata.Load, metadata.RateLimit
-	if !metadata.Misdirected && metadata.RequestID == r.metadata.ID {
+	isOwn := metadata.RequestID == r.metadata.ID || (metadata.RequestID == "" && metadata.NotRun && a.connection.IsFirstRequest())
+	if isOwn && !metadata.Misdirected {
 		r.recordLimit(a, metadata)
 		r.recordMaxRejections(a, metadata)
 		r.recordAvailability(a, metadata)
 	}
 	switch {
+	case !isOwn: // It may be an earlier answer, which says nothing of this request.
+		a.mayHaveRun = true
+		r.failAttempt(ctx, a, errors.Errorf("answer is for request %q", metadata.RequestID))
 	case metadata.Misdirected:
 		a.result, a.failureCause = placer.Misdirected, errors.New("another endpoint has the address")
 		r.discardResponse(a)
-	case metadata.RequestID != r.metadata.ID:
-		a.mayHaveRun = !metadata.NotRun
-		r.failAttempt(ctx, a, errors.Errorf("answer is for request %q", metadata.RequestID))
 	case a.response.Header.Get("Content-Encoding") != "":
 		a.mayHaveRun = true
 		r.failAttempt(ctx, a, errors.New("answer has a content encoding"))
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"syscall"
 	"time"
 
@@ -60,7 +61,11 @@
 // openConnection opens a connection to the chosen endpoint and finds out its version if that
 // is needed.
 func (r *relayedRequest) openConnection(ctx context.Context, a *attempt) (err error) {
-	if a.connection, err = r.relayer.connections.Open(ctx, a.placement.Address); err != nil {
+	open := r.relayer.connections.Open
+	if slices.Contains(r.placementRequest.AvoidEndpoints, a.placement.EndpointID) {
+		open = r.relayer.connections.Dial // On the connection of an earlier attempt, its answer may come again.
+	}
+	if a.connection, err = open(ctx, a.placement.Address); err != nil {
 		return err
 	}
 	if a.connection.IsNew() {
