forwarder: Believe a refusal only if it is this request's

A booking was told not to have run, or ran twice, after an earlier refusal on a kept connection.

Cause: the header X-Started was believed in whatever answer came, and a stream with another request's ID was forwarded.

Change: an answer to a model request with another ID fails the attempt; a refusal counts with the request's ID or on a new connection. Answers of plain services name no request, so calls other than GET and HEAD have a connection of their own.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,6 +8,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,6 +30,9 @@
 	progressInterval = 100 * time.Millisecond
 )
 
+// requestIDHeader is the header with the ID of a model request. Engines repeat it in their answers.
+const requestIDHeader = "X-Request-Id"
+
 // Forwarder sends requests to endpoints. It is safe for concurrent use.
 type Forwarder struct {
 	pooledClient *http.Client
@@ -99,11 +104,26 @@
 	return retrier.StartUnknown()
 }
 
+// connectionTrace notes whether the connection of a request carried others before. An answer on
+// such a connection may be an earlier one that the endpoint wrote once more.
+type connectionTrace struct {
+	isReused atomic.Bool
+}
+
+// follow returns the request with its connection noted.
+func (t *connectionTrace) follow(request *http.Request) *http.Request {
+	return request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { t.isReused.Store(info.Reused) },
+	}))
+}
+
 // failureFromResponse returns the failure of a request that the endpoint answered with
 // an error. Only the header X-Started with the value false proves that the endpoint did
-// not start the request.
-func failureFromResponse(response *http.Response) retrier.Failure {
-	if response.Header.Get("X-Started") == "false" {
+// not start the request, and only in an answer that is that of no earlier one: isNewConnection is
+// true, or the answer states the request's ID.
+func failureFromResponse(response *http.Response, isNewConnection bool, requestID string) retrier.Failure {
+	isOwn := isNewConnection || (requestID != "" && response.Header.Get(requestIDHeader) == requestID)
+	if isOwn && response.Header.Get("X-Started") == "false" {
 		return retrier.Failure{
 			Kind:        answerer.KindRefusedByEndpoint,
 			StartStatus: retrier.ConfirmedNeverStarted(),
--- a/internal/forwarder/model_call.go
+++ b/internal/forwarder/model_call.go
@@ -36,20 +36,20 @@
 const maxStatusBytes = 4096
 
 // sendModelCall sends a model request to the engine and returns its response.
-func (f *Forwarder) sendModelCall(ctx context.Context, call ModelCall) (*http.Response, error) {
+func (f *Forwarder) sendModelCall(ctx context.Context, call ModelCall, trace *connectionTrace) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, call.Address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
-	request.Header.Set("X-Request-Id", call.StreamID)
+	request.Header.Set(requestIDHeader, call.StreamID)
 	request.Header.Set("X-Priority", strconv.Itoa(call.Priority))
 	// The stream ID identifies a single request at the engine, so net/http must
 	// not send the request again on its own when a pooled connection breaks.
 	request.GetBody = nil
 
-	return f.pooledClient.Do(request)
+	return f.pooledClient.Do(trace.follow(request))
 }
 
 // requestResumption asks the engine, on a new connection, for the stream from the chunk
--- a/internal/forwarder/plain_call.go
+++ b/internal/forwarder/plain_call.go
@@ -45,13 +45,13 @@
 	request.Header = call.Header.Clone()
 	disableTransportRetry(request)
 
-	response, err := f.pooledClient.Do(request)
+	response, err := f.plainClient(call.Method).Do(request)
 	if err != nil {
 		return PlainAnswer{}, newPlainFailure(ctx, startStatusFromError(err))
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("X-Started") == "false" {
-		failure := failureFromResponse(response)
+		failure := failureFromResponse(response, !mayShareConnection(call.Method), "")
 
 		return PlainAnswer{}, &failure
 	}
@@ -76,6 +76,22 @@
 	return f.RunPlainCall(ctx, call)
 }
 
+// mayShareConnection reports whether a call may use a connection that others have used. Answers of
+// plain services name no request, so a refusal there may be an earlier one. A call that changes
+// something has a connection of its own, so that a refusal says for sure that it has not run.
+func mayShareConnection(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead
+}
+
+// plainClient returns the client for a call with a method.
+func (f *Forwarder) plainClient(method string) *http.Client {
+	if mayShareConnection(method) {
+		return f.pooledClient
+	}
+
+	return f.unpooledClient
+}
+
 // disableTransportRetry keeps net/http from sending a call again on its own when a
 // pooled connection breaks. It does so for calls with an Idempotency-Key header if there
 // is no body or the body can be rewound, so a call without a body gets an empty one that
--- a/internal/forwarder/plain_call_test.go
+++ b/internal/forwarder/plain_call_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -84,3 +85,72 @@
 		assert.Equal(t, failure.StartStatus.IsNotStarted(), test.wantNotStarted, test.path)
 	}
 }
+
+// Guards against a booking that runs twice, or whose caller is told that it has not run, because a
+// service wrote an earlier refusal once more on a kept connection.
+func TestEarlierRefusalIsNoProofThatACallDidNotStart(t *testing.T) {
+	for _, test := range []struct {
+		method         string
+		wantNotStarted bool // on the first connection
+	}{{http.MethodPost, true}, {http.MethodGet, false}} {
+		t.Run(test.method, func(t *testing.T) {
+			var connections atomic.Int32
+			service := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Started", "false")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			service.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+				if state == http.StateNew {
+					connections.Add(1)
+				}
+			}
+			service.Start()
+			defer service.Close()
+			forward := forwarder.New(joiner.DefaultSettings())
+			defer forward.Close()
+			for n := range 3 {
+				_, failure := forward.RunPlainCall(context.Background(), forwarder.PlainCall{Address: service.URL, Method: test.method, PathAndQuery: "/", Header: http.Header{}})
+				assert.Equal(t, failure.StartStatus.IsNotStarted(), test.wantNotStarted)
+				if test.wantNotStarted {
+					assert.Equal(t, connections.Load(), int32(n+1), "each call has a connection of its own")
+				}
+			}
+		})
+	}
+}
+
+// discardedChunks is a ChunkWriter that counts chunks.
+type discardedChunks int
+
+func (c *discardedChunks) WriteChunk([]byte) error { *c++; return nil }
+func (c *discardedChunks) Flush() error            { return nil }
+
+// Guards against the stream or the refusal of an earlier request being taken for that of this one.
+func TestAnswerOfAnotherModelRequestSaysNothingOfThisOne(t *testing.T) {
+	for _, test := range []struct {
+		id, started    string
+		status         int
+		wantNotStarted bool
+	}{
+		{"other", "", http.StatusOK, false}, {"other", "false", http.StatusServiceUnavailable, false}, {"own", "false", http.StatusServiceUnavailable, true},
+	} {
+		engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method != http.MethodPost {
+				w.WriteHeader(http.StatusNotFound) // The stream is not known.
+
+				return
+			}
+			w.Header().Set("X-Request-Id", test.id)
+			w.Header().Set("X-Started", test.started)
+			w.WriteHeader(test.status)
+			_, _ = io.WriteString(w, "id: 0\ndata: text\n\n")
+		}))
+		forward := forwarder.New(joiner.DefaultSettings())
+		chunks := discardedChunks(0)
+		result := forward.RunModelCall(t.Context(), forwarder.ModelCall{Address: engine.URL, Path: "/", StreamID: "own"}, &chunks, func(int) {})
+		assert.Assert(t, result.Failure != nil && chunks == 0)
+		assert.Equal(t, result.Failure.StartStatus.IsNotStarted(), test.wantNotStarted, test.id)
+		forward.Close()
+		engine.Close()
+	}
+}
--- a/internal/forwarder/stream_attempt.go
+++ b/internal/forwarder/stream_attempt.go
@@ -63,14 +63,20 @@
 func (s *streamAttempt) run() Result {
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.setCancelConnection(cancel)
-	response, err := s.forwarder.sendModelCall(ctx, s.call)
+	trace := connectionTrace{}
+	response, err := s.forwarder.sendModelCall(ctx, s.call, &trace)
 	if err != nil {
 		cancel()
 		if !s.isResumePending() {
 			return s.finishFailed(s.newFailure(answerer.KindEndpointLost, startStatusFromError(err)))
 		}
+	} else if answered := response.Header.Get(requestIDHeader); answered != "" && answered != s.call.StreamID {
+		response.Body.Close()
+		cancel()
+
+		return s.finishFailed(s.newFailure(answerer.KindEndpointLost, retrier.StartUnknown()))
 	} else if response.StatusCode != http.StatusOK {
-		failure := failureFromResponse(response)
+		failure := failureFromResponse(response, !trace.isReused.Load(), s.call.StreamID)
 		response.Body.Close()
 		cancel()
 
--- a/internal/lab/emulator/handler.go
+++ b/internal/lab/emulator/handler.go
@@ -49,6 +49,7 @@
 }
 
 func (e *Emulator) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	parsed, err := decodeSubmission(w, r, e.Faults().Poison)
 	if err != nil {
 		writeRefusal(w, err)
