relayer, forwarder, sse: Do not take a next answer for a part of one without length

Callers: in the middle of a stream stood the head and text of another answer, or another stream's events, and the stream looked complete.

Cause: behind an answer without length and chunks, what a faulty endpoint writes next is read as its body, and any lines up to an empty one were an event.

Change: in streams without length, events may have only the fields of the standard and of the platform; other lines break the stream off before the event is forwarded.

Measured: the new cases of TestStreamWithoutLengthIsCompleteOnlyAtTheEndOfAnEvent and TestNextAnswerIsNotPartOfAnAnswerWithoutLength fail without the change (status 200, complete) and pass with it.

--- a/internal/common/sse/raw.go
+++ b/internal/common/sse/raw.go
@@ -27,6 +27,7 @@
 type RawReader struct {
 	buffered *bufio.Reader
 	event    []byte
+	fields   fieldSet
 }
 
 // NewRawReader returns a RawReader of the event stream in source.
@@ -34,6 +35,16 @@
 	return &RawReader{buffered: bufio.NewReaderSize(source, rawBufferSize)}
 }
 
+// NewStrictRawReader returns a RawReader that accepts only lines of the standard fields and of the
+// given ones. It is for streams whose end only the end of their connection shows: a next answer that
+// stands behind such a stream must not be taken for an event.
+func NewStrictRawReader(source io.Reader, fields ...string) *RawReader {
+	r := NewRawReader(source)
+	r.fields = newFieldSet(fields)
+
+	return r
+}
+
 // HasBuffered reports whether bytes of the next event are buffered already.
 func (r *RawReader) HasBuffered() bool {
 	return r.buffered.Buffered() > 0
@@ -41,7 +52,7 @@
 
 // Next returns the next event. It returns io.EOF at the end of the stream,
 // io.ErrUnexpectedEOF if the stream ends within an event, and ErrMalformed if an id is
-// not a number or the event is too long.
+// not a number, the event is too long or a strict reader does not accept a line.
 func (r *RawReader) Next() (RawEvent, error) {
 	event := RawEvent{ID: -1}
 	r.event = r.event[:0]
@@ -56,6 +67,9 @@
 
 			return event, nil
 		}
+		if err := r.fields.check(line); err != nil {
+			return RawEvent{}, err
+		}
 		value, isID := bytes.CutPrefix(line, []byte("id:"))
 		if !isID {
 			continue
--- a/internal/common/sse/raw_test.go
+++ b/internal/common/sse/raw_test.go
@@ -47,3 +47,25 @@
 		})
 	}
 }
+
+// Guards against bytes of a next answer, which stands behind a stream without an end of its own, being
+// taken for an event.
+func TestStrictReadersRefuseLinesThatAreNoFields(t *testing.T) {
+	for stream, wantEvents := range map[string]int{
+		"id: 1\ndata: a\nevent: e\nretry: 5\n: note\n\nid: 2\nextra: 7\ndata: b\n\n":  2,
+		"id: 1\ndata: a\n\nHTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n":            1,
+		"id: 1\ndata: a\n\nid: 2\ndata: bHTTP/1.1 503 Busy\r\nretry-after: 1\r\n\r\n": 1,
+		"Data: a\n\n": 0,
+	} {
+		raw, events := sse.NewStrictRawReader(strings.NewReader(stream), "extra"), 0
+		for _, err := raw.Next(); err == nil; _, err = raw.Next() {
+			events++
+		}
+		assert.Equal(t, events, wantEvents, stream)
+		parsed, events := sse.NewStrictReader(strings.NewReader(strings.ReplaceAll(stream, "extra", "event"))), 0
+		for _, err := parsed.Next(); err == nil; _, err = parsed.Next() {
+			events++
+		}
+		assert.Equal(t, events, wantEvents, stream)
+	}
+}
--- a/internal/common/sse/reader.go
+++ b/internal/common/sse/reader.go
@@ -35,6 +35,7 @@
 	buffered  *bufio.Reader
 	data      []byte
 	eventType []byte
+	fields    fieldSet
 }
 
 // NewReader returns a Reader of the event stream in source.
@@ -42,6 +43,15 @@
 	return &Reader{buffered: bufio.NewReaderSize(source, MaxLineBytes)}
 }
 
+// NewStrictReader returns a Reader that accepts only lines of the standard fields, as
+// NewStrictRawReader does.
+func NewStrictReader(source io.Reader) *Reader {
+	r := NewReader(source)
+	r.fields = newFieldSet(nil)
+
+	return r
+}
+
 // HasBuffered reports whether bytes of the next event are buffered already.
 func (r *Reader) HasBuffered() bool {
 	return r.buffered.Buffered() > 0
@@ -70,6 +80,9 @@
 			return event, nil
 		}
 		hasLines = true
+		if err := r.fields.check(line); err != nil {
+			return Event{}, err
+		}
 		if err := r.parseField(&event, line); err != nil {
 			return Event{}, err
 		}
--- a/internal/forwarder/stream_attempt.go
+++ b/internal/forwarder/stream_attempt.go
@@ -102,6 +102,9 @@
 func (s *streamAttempt) readEvents(response *http.Response) {
 	defer response.Body.Close()
 	events := sse.NewReader(response.Body)
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		events = sse.NewStrictReader(response.Body) // Only the end of the connection ends the stream.
+	}
 	for {
 		event, err := events.Next()
 		if err != nil || s.writeErr != nil {
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -45,6 +46,11 @@
 
 		return
 	}
+	if endsWithConnection(a.response) && r.hasNextAnswer(buffer.Bytes()) {
+		r.failAttempt(ctx, a, errors.New("another answer stands behind the answer, which has no length"))
+
+		return
+	}
 	if n == maxBufferedBytes && promisesNotRun(a.response.StatusCode) && !a.isPeer {
 		r.failAttempt(ctx, a, errors.Errorf("status %d with a body of %d bytes or more", a.response.StatusCode, n))
 
@@ -71,6 +77,25 @@
 	a.answered = true
 }
 
+// hasNextAnswer reports whether the head of another answer, which names a request, stands in a body.
+func (r *relayedRequest) hasNextAnswer(body []byte) bool {
+	for {
+		start := bytes.Index(body, []byte("HTTP/1."))
+		if start < 0 {
+			return false
+		}
+		body = body[start:]
+		next, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body)), nil)
+		if err == nil {
+			_ = next.Body.Close()
+			if r.relayer.codec.ParseResponse(next.StatusCode, next.Header).RequestID != "" {
+				return true
+			}
+		}
+		body = body[len("HTTP/1."):]
+	}
+}
+
 // acceptAnswer reports whether the answer is the final one. A 5xx status of a request
 // that may be repeated is kept instead, for the case that no other attempt succeeds. A
 // status that promises that the request has not run is not accepted either, since answers
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -133,6 +133,8 @@
 	PassedOnHeader(header http.Header, metadata PassedOnMetadata) http.Header
 	// ParseResponse reads the status code and headers of an endpoint's answer.
 	ParseResponse(status int, header http.Header) ResponseMetadata
+	// EventFields returns the fields of events beside those of the standard.
+	EventFields() []string
 }
 
 // Codec reads and writes what the platform defines of requests, answers and reports.
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -93,6 +93,8 @@
 	return metadata
 }
 
+func (testCodec) EventFields() []string { return []string{"weights"} }
+
 // ReportPath and ParseReport read the report of a versioned endpoint, a decimal number.
 func (testCodec) ReportPath() string { return reportPath }
 
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -41,6 +41,9 @@
 // forwardStream forwards each event of the answer as soon as it has arrived whole.
 func (r *relayedRequest) forwardStream(ctx context.Context, a *attempt) {
 	events := sse.NewRawReader(a.response.Body)
+	if endsWithConnection(a.response) {
+		events = sse.NewStrictRawReader(a.response.Body, r.relayer.codec.EventFields()...)
+	}
 	flusher := http.NewResponseController(r.w)
 	lastReported := time.Time{}
 	for first := true; ; first = false {
--- a/internal/relayer/without_length_test.go
+++ b/internal/relayer/without_length_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -13,8 +14,42 @@
 	"gotest.tools/v3/assert"
 )
 
+// nextAnswer and nextStream are answers that an endpoint writes behind another one.
+const (
+	nextAnswer = "HTTP/1.1 503 Busy\r\nX-Id: other\r\nContent-Length: 4\r\n\r\nbusy"
+	nextStream = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Type: text/event-stream\r\n\r\nid: 3\ndata: other\n\n"
+)
+
+// Guards against an answer without a length being forwarded together with another one that stands
+// behind it, which belongs to no request.
+func TestNextAnswerIsNotPartOfAnAnswerWithoutLength(t *testing.T) {
+	for name, test := range map[string]struct {
+		path, body string
+		status     int
+	}{
+		"once":               {"/once/x", "own" + nextAnswer, http.StatusBadGateway},
+		"names HTTP":         {"/once/x", "own HTTP/1.1 200 OK\r\nA: b\r\n\r\nHTTP/1.", http.StatusOK},
+		"names HTTP, before": {"/once/x", "HTTP/1.0 is old. " + nextAnswer, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithHarness(t, func(t *testing.T, h *harness) {
+				h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+					if request := h.readRawRequest(reader); request != nil {
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\n%s", request.Header.Get("X-Id"), test.body)
+						_ = conn.Close()
+					}
+				})
+				response, _, err := h.send(h.newRequest(http.MethodPost, test.path, ""))
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, test.status)
+			})
+		})
+	}
+}
+
 // Guards against a stream without a length that its endpoint broke off, within an event or
-// before the first one, looking complete to the caller.
+// before the first one, looking complete to the caller, and against the head of a next answer behind
+// it being forwarded as an event.
 func TestStreamWithoutLengthIsCompleteOnlyAtTheEndOfAnEvent(t *testing.T) {
 	for name, test := range map[string]struct {
 		body, want string
@@ -25,6 +60,11 @@
 		"ends after a line":          {eventsText(2) + "id: 3\n", eventsText(2), false},
 		"ends before the last break": {eventsText(2) + "id: 3\ndata: piece 3\n", eventsText(2), false},
 		"ends before an event":       {"", "", false},
+		"an answer behind it":        {eventsText(2) + nextAnswer, eventsText(2), false},
+		"an answer within an event":  {eventsText(2) + "id: 3\ndata: pie" + nextAnswer, eventsText(2), false},
+		"in small letters":           {eventsText(2) + "id: 3\ndata: pie" + strings.ToLower(nextAnswer), eventsText(2), false},
+		"a stream behind it":         {eventsText(2) + nextStream, eventsText(2), false},
+		"a known field":              {"weights: 3\n" + eventsText(2), "weights: 3\n" + eventsText(2), true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runWithHarness(t, func(t *testing.T, h *harness) {
