relayer: Log a request for which the registry is too old

The refusal alone says store-down, as it does for keys that cannot be confirmed. The new line has the registry's age, so that the two can be told apart.

--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -34,7 +34,10 @@
 // which are limited by the number of first attempts.
 func (d *Dispatcher) Place(ctx context.Context, request placer.Request, isFirstAttempt bool) (placement Placement, ok bool) {
 	if !d.awaitRegistry(ctx) {
-		return Placement{IsRegistryOld: true}, false
+		placement.IsRegistryOld = true
+		_, placement.RegistryAge = d.DataAges()
+
+		return placement, false
 	}
 	var need *permitNeed
 	d.withState(func() {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -79,7 +79,7 @@
 		}
 		placement, ok := r.relayer.dispatcher.Place(ctx, r.placementRequest, first)
 		if !ok && placement.IsRegistryOld {
-			r.finishOnOldRegistry(ctx)
+			r.finishOnOldRegistry(ctx, placement.RegistryAge)
 
 			return
 		}
@@ -128,7 +128,9 @@
 
 // finishOnOldRegistry ends a request that may go to no endpoint because the registry is too old.
 // Another instance may know a newer one.
-func (r *relayedRequest) finishOnOldRegistry(ctx context.Context) {
+func (r *relayedRequest) finishOnOldRegistry(ctx context.Context, age time.Duration) {
+	r.relayer.logger.Info("The registry is too old to choose an endpoint.", "request", r.metadata.ID, "service", r.placementRequest.Service,
+		"registry ms", age.Milliseconds(), "may have run", r.mayHaveRun)
 	kind := answerer.KindStoreDown
 	if r.mayHaveRun {
 		kind = answerer.KindUncertain
