--- a/pkg/freshener/freshener.go
+++ b/pkg/freshener/freshener.go
@@ -6,6 +6,8 @@
 // time, less a margin, from the moment at which the read that confirmed it was sent.
 // A peer may pass its lease on together with the lease's age.
 //
+// Other data has a limit of age too, beyond which it is used only if the platform cannot be read.
+//
 // Times are readings of a clock that also runs while the machine is suspended. A
 // Lease is not safe for concurrent use.
 package freshener
