registrar: Leave what is held back when departures are applied

Found by reading the change once more.

Change: ApplyDepartures goes through the known entries by itself. An entry that another incarnation has replaced is removed, also after an outage. Kept entries are reported once.

Measured: TestDeparturesLeaveWhatIsHeldBack fails before (the old incarnations are not used after the window); TestKnowledgeSurvivesRestorations now applies departures before each listing too.

--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -140,7 +140,8 @@
 type Changes struct {
 	// Draining are the endpoints that drain since this listing, and Removed those that it lacks.
 	Draining, Removed []string
-	// Kept are those that it lacks and that are kept in the reregistration window.
+	// Kept are those that it lacks, unlike the one before, and that are kept in the reregistration
+	// window.
 	Kept []string
 }
 
@@ -166,13 +167,8 @@
 		r.setEntry(endpoint)
 	}
 	for id := range r.entries {
-		if listed[id] {
-			continue
-		}
-		if r.removeOrKeep(now, id) {
-			changes.Kept = append(changes.Kept, id)
-		} else {
-			changes.Removed = append(changes.Removed, id)
+		if !listed[id] {
+			r.recordMissing(now, id, &changes)
 		}
 	}
 	r.hasListing = true
@@ -182,17 +178,42 @@
 }
 
 // ApplyDepartures applies of a complete listing only what it says of the incarnations that are
-// known: those that drain and those that it lacks. It adds none, for listings whose new endpoints
+// known: those that drain and those that are gone. It adds none, for listings whose new endpoints
 // may not be used yet. Call RecordReachable first.
-func (r *Registrar) ApplyDepartures(now time.Time, endpoints []Endpoint) Changes {
-	known := make([]Endpoint, 0, len(endpoints))
+func (r *Registrar) ApplyDepartures(now time.Time, endpoints []Endpoint) (changes Changes) {
+	listed := make(map[string]Endpoint, len(endpoints))
 	for _, endpoint := range endpoints {
-		if entry, ok := r.entries[endpoint.ID]; ok && entry.StartedUnixMs == endpoint.StartedUnixMs {
-			known = append(known, endpoint)
+		listed[endpoint.ID] = endpoint
+	}
+	for id, known := range r.entries {
+		endpoint, isListed := listed[id]
+		switch {
+		case isListed && r.isRestored && now.Before(r.keepMissingUntil) && r.isOutdated(endpoint):
+		case !isListed:
+			r.recordMissing(now, id, &changes)
+		case endpoint.StartedUnixMs != known.StartedUnixMs:
+			r.remove(now, id)
+			changes.Removed = append(changes.Removed, id)
+		case endpoint.Draining && !known.Draining:
+			changes.Draining = append(changes.Draining, id)
+			r.setEntry(endpoint)
 		}
 	}
+	r.updateSortedEndpoints()
 
-	return r.ApplyListing(now, known)
+	return changes
+}
+
+// recordMissing handles an entry that a listing does not contain, and adds to the changes what is
+// new of it.
+func (r *Registrar) recordMissing(now time.Time, id string, changes *Changes) {
+	wasMissing := r.missing[id]
+	switch isKept := r.removeOrKeep(now, id); {
+	case !isKept:
+		changes.Removed = append(changes.Removed, id)
+	case !wasMissing:
+		changes.Kept = append(changes.Kept, id)
+	}
 }
 
 // isOutdated reports whether more is known of a listed incarnation than its entry says: it
@@ -254,11 +275,16 @@
 
 		return true
 	}
+	r.remove(now, id)
+
+	return false
+}
+
+// remove removes an entry.
+func (r *Registrar) remove(now time.Time, id string) {
 	r.rememberRemoved(now, r.entries[id])
 	delete(r.entries, id)
 	delete(r.missing, id)
-
-	return false
 }
 
 // RemoveExpired ends the reregistration window when it is over: it removes missing
--- a/pkg/registrar/restored_test.go
+++ b/pkg/registrar/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,35 @@
 	assert.Assert(t, !r.RemoveExpired(now))
 }
 
+// Guards against entries of a copy being forgotten that are held back, and against newer incarnations
+// being dropped for them, because departures are applied before each listing.
+func TestDeparturesLeaveWhatIsHeldBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := registrar.New(registrar.Settings{ReregistrationWindow: window, MinOutage: 1500 * time.Millisecond})
+	list := func(endpoints ...registrar.Endpoint) registrar.Changes {
+		r.RecordReachable(now, now)
+		changes := r.ApplyDepartures(now, endpoints)
+		now = now.Add(100 * time.Millisecond)
+
+		return changes
+	}
+	r.RecordReachable(now, now)
+	r.ApplyListing(now, []registrar.Endpoint{incarnation("drains", 1, false), incarnation("left", 1, false), incarnation("restarted", 1, false)})
+	changes := list(incarnation("drains", 1, true), incarnation("restarted", 2, false))
+	slices.Sort(changes.Removed)
+	assert.DeepEqual(t, changes, registrar.Changes{Draining: []string{"drains"}, Removed: []string{"left", "restarted"}})
+	r.ApplyListing(now, []registrar.Endpoint{incarnation("drains", 1, true), incarnation("restarted", 2, false)})
+
+	r.RecordRestored(now)
+	theCopy := []registrar.Endpoint{incarnation("drains", 1, false), incarnation("left", 1, false), incarnation("restarted", 1, false)}
+	r.ApplyListing(now, theCopy)
+	assert.DeepEqual(t, list(theCopy...), registrar.Changes{})
+	assert.DeepEqual(t, r.Endpoints(), []registrar.Endpoint{incarnation("drains", 1, true), incarnation("restarted", 2, false)})
+	now = now.Add(window)
+	assert.Assert(t, r.RemoveExpired(now))
+	assert.DeepEqual(t, r.Endpoints(), theCopy) // After the window the registry is believed.
+}
+
 // Guards against any interleaving of registrations, drains, removals, listings and
 // restorations, several in a row, breaking what must hold in the window after one.
 func TestKnowledgeSurvivesRestorations(t *testing.T) {
@@ -61,6 +91,7 @@
 			}
 			r.RemoveExpired(now)
 			r.RecordReachable(now, now)
+			r.ApplyDepartures(now, listed)
 			r.ApplyListing(now, listed)
 			after := map[string]registrar.Endpoint{}
 			for _, e := range r.Endpoints() {
