--- a/internal/storer/client_test.go
+++ b/internal/storer/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,7 +170,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				network, dials := piper.New(), 0
+				network, dials := piper.New(), atomic.Int64{}
 				network.Serve("store", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 					time.Sleep(test.answer)
 					_, _ = w.Write([]byte(`{"name":"a","version":7}`))
@@ -177,11 +178,10 @@
 				network.ServeConn("silent", func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
 				transport := &http.Transport{DialContext: func(ctx context.Context, kind, _ string) (net.Conn, error) {
 					time.Sleep(test.dial)
-					dials++
-					switch {
-					case dials <= test.failedDials:
+					switch dial := int(dials.Add(1)); {
+					case dial <= test.failedDials:
 						return nil, errors.New("refused")
-					case dials <= test.silentConns:
+					case dial <= test.silentConns:
 						return network.Dial(ctx, kind, "silent:1")
 					}
 
