dispatcher: Count the registry as young as the departures that were read

While the new endpoints of a listing waited for the record of versions (up to half a second), the registry counted as old as the listing before, though it was known by then which endpoints leave; requests waited or were refused without a reason.

Change: the age counts from the read that was last searched for departures. A lookup that only a test used and a function that only forwarded are gone; the order of endpoints is made anew only after a change.

Measured: TestRegistryIsAsYoungAsItsDepartures fails before (it waits half a second and is refused by the listing's age). TestRegistryIsUsedAtAnyAgeWhileReadsFail is new: no test would have seen the watcher not telling its failed reads.

--- a/internal/dispatcher/data_age.go
+++ b/internal/dispatcher/data_age.go
@@ -56,13 +56,13 @@
 // isRegistryCurrent reports whether endpoints may be chosen by the registry as it is known. The
 // caller holds the lock.
 func (d *Dispatcher) isRegistryCurrent() bool {
-	return !d.registry.HasListing() || d.endpointsState.allows(d.clock.SinceBoot(), d.listingReadAt)
+	return !d.registry.HasListing() || d.endpointsState.allows(d.clock.SinceBoot(), d.registryReadAt())
 }
 
-// awaitRegistry waits for a read of the registry if what is known is too old, for maxDataWait at
-// the longest. It reports whether endpoints may be chosen.
-func (d *Dispatcher) awaitRegistry(ctx context.Context) bool {
-	return d.awaitData(ctx, d.isRegistryCurrent)
+// registryReadAt returns when the read was sent that last told which endpoints leave, since boot. Its
+// new endpoints may wait for the record of versions. The caller holds the lock.
+func (d *Dispatcher) registryReadAt() time.Duration {
+	return max(d.listingReadAt, d.departuresReadAt)
 }
 
 // AwaitConfiguration waits for a read of the configuration if the one that is known is too old, for
@@ -87,7 +87,8 @@
 	return isYoung
 }
 
-// awaitData waits until data is current by a function that is called with the lock.
+// awaitData waits until data is current by a function that is called with the lock, for maxDataWait at
+// the longest, and reports whether it is.
 func (d *Dispatcher) awaitData(ctx context.Context, isCurrent func() bool) bool {
 	var timeout <-chan time.Time
 	for {
--- a/internal/dispatcher/data_age_test.go
+++ b/internal/dispatcher/data_age_test.go
@@ -65,6 +65,25 @@
 	}
 }
 
+// Guards against requests that wait although it is known which endpoints leave, because the new endpoints
+// of the same listing wait for the record of versions.
+func TestRegistryIsAsYoungAsItsDepartures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		sinceBoot := func() time.Duration { return time.Since(start) + time.Hour }
+		endpoints := []registrar.Endpoint{{ID: "e", Service: "s", Address: "e:1", Slots: 4}}
+		d := dispatcher.New(dispatcher.Settings{MaxEndpointsAge: 1750 * time.Millisecond}, dispatcher.Clock{Now: time.Now, SinceBoot: sinceBoot}, hclog.NewNullLogger())
+		d.ApplyListing(sinceBoot(), 0, endpoints)
+		time.Sleep(1500 * time.Millisecond)
+		d.ApplyDepartures(sinceBoot(), 0, endpoints)
+		time.Sleep(500 * time.Millisecond)
+		placement, ok := d.Place(t.Context(), placer.Request{Service: "s"}, true)
+		assert.Assert(t, ok)
+		assert.Equal(t, placement.RegistryAge, 500*time.Millisecond)
+		assert.Equal(t, time.Since(start), 2*time.Second)
+	})
+}
+
 // Guards against requests that are handled by a configuration that has been replaced for longer than a
 // change may take, and against a 404 by it, also while the platform is lost.
 func TestNothingIsDecidedByAnOldConfiguration(t *testing.T) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -121,6 +121,7 @@
 	storedConfiguration StoredConfiguration
 	listedEndpoints     []registrar.Endpoint
 	listingDigest       uint64
+	departuresReadAt    time.Duration // time since boot at which the read that was last searched for departures was sent
 	hasDepartures       bool          // the registry has departures of a listing that is not the last one
 	listingReadAt       time.Duration // time since boot at which the listing's read was sent
 	listingEpoch        uint64        // epoch of the store in which the listing was read
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -102,6 +102,7 @@
 		if !d.registry.HasListing() || d.isOlderListing(sentAt, epoch) {
 			return
 		}
+		d.departuresReadAt = max(d.departuresReadAt, sentAt)
 		now := d.clock.Now()
 		silence := d.recordReachable(now, sentAt)
 		changes := d.registry.ApplyDepartures(now, endpoints)
@@ -114,13 +115,6 @@
 	})
 }
 
-// TakesRequests reports whether an incarnation of an endpoint is registered and not leaving.
-func (d *Dispatcher) TakesRequests(id string, startedUnixMs int64) (takes bool) {
-	d.withState(func() { takes = d.registry.TakesRequests(id, startedUnixMs) })
-
-	return takes
-}
-
 // recordReachable records that the registry answered a read sent at a time since boot, and logs an
 // outage before that. It returns how long the registry had been silent.
 func (d *Dispatcher) recordReachable(now time.Time, sentAt time.Duration) time.Duration {
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -17,8 +17,7 @@
 	// it is postponed or all endpoints have reached their limits; zero if the request may be
 	// sent to the endpoint now.
 	RetryAfter time.Duration
-	// RegistryAge is the time since the read that last confirmed the registered endpoints was
-	// sent; negative if there was none.
+	// RegistryAge is the time since the read was sent that last told which endpoints leave.
 	RegistryAge time.Duration
 	// IsRegistryOld is true if no endpoint is chosen because the registry is older than it may be.
 	IsRegistryOld bool
@@ -33,9 +32,9 @@
 // left that are not known to. isFirstAttempt is false for repeats,
 // which are limited by the number of first attempts.
 func (d *Dispatcher) Place(ctx context.Context, request placer.Request, isFirstAttempt bool) (placement Placement, ok bool) {
-	if !d.awaitRegistry(ctx) {
+	if !d.awaitData(ctx, d.isRegistryCurrent) {
 		placement.IsRegistryOld = true
-		_, placement.RegistryAge = d.DataAges()
+		d.withState(func() { placement.RegistryAge = d.clock.SinceBoot() - d.registryReadAt() })
 
 		return placement, false
 	}
@@ -86,7 +85,7 @@
 		case throttler.Send:
 			d.lastAttemptID++
 			placement.attemptID = d.lastAttemptID
-			_, placement.RegistryAge = d.dataAges()
+			placement.RegistryAge = d.clock.SinceBoot() - d.registryReadAt()
 			d.placer.RecordSent(now, placement.attemptID, placement.Choice, request)
 			d.reportLoadChange(placement)
 
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -15,6 +15,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/storer"
 	"github.com/oleanderpick/oleanderpick/internal/watcher"
 	"github.com/oleanderpick/oleanderpick/pkg/matcher"
+	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 )
 
@@ -57,6 +58,9 @@
 func (s *fakeStore) List(_ context.Context, _, after string, _ int) (storer.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.unavailable {
+		return storer.Page{}, storer.ErrUnavailable
+	}
 	if s.onlyNew {
 		return storer.Page{Items: []storer.Object{{Name: "new"}}}, nil
 	}
@@ -199,18 +203,39 @@
 	return nil
 }
 
+// takesRequests reports whether a request may go to an endpoint.
+func takesRequests(d *dispatcher.Dispatcher, id string) bool {
+	isRegistered, isCurrent := d.MaySend(dispatcher.Placement{Choice: placer.Choice{EndpointID: id}})
+
+	return isRegistered && isCurrent
+}
+
+// Guards against callers who are not served while the platform is lost, because its failed reads are
+// not known where the age of the registry is limited.
+func TestRegistryIsUsedAtAnyAgeWhileReadsFail(t *testing.T) {
+	s := &fakeStore{version: 1}
+	runWatcher(t, s, 0, func(t *testing.T, d *dispatcher.Dispatcher, _ func() time.Duration) {
+		d.Configure(dispatcher.Settings{KeyLeaseDuration: 5 * time.Second, MaxConfigurationAge: 1750 * time.Millisecond, MaxEndpointsAge: 1750 * time.Millisecond})
+		time.Sleep(time.Second)
+		s.update(func(s *fakeStore) { s.unavailable = true })
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, takesRequests(d, "a") && d.AwaitConfiguration(t.Context()))
+		assert.Assert(t, !d.IsConfigurationYoung())
+	})
+}
+
 // Guards against requests to endpoints that are gone, because the listing that says so has new
 // endpoints whose versions are not recorded yet, or only such.
 func TestDeparturesDoNotWaitForTheRecordOfVersions(t *testing.T) {
 	s := &fakeStore{version: 1}
 	runWatcherWith(t, s, slowRecord{}, 0, func(t *testing.T, d *dispatcher.Dispatcher, _ func() time.Duration) {
 		time.Sleep(time.Second)
-		assert.Assert(t, d.TakesRequests("a", 0))
+		assert.Assert(t, takesRequests(d, "a"))
 		s.update(func(s *fakeStore) { s.onlyNew = true })
 		time.Sleep(550 * time.Millisecond)
-		assert.Assert(t, !d.TakesRequests("a", 0))
+		assert.Assert(t, !takesRequests(d, "a"))
 		s.update(func(s *fakeStore) { s.onlyNew = false })
 		time.Sleep(time.Second)
-		assert.Assert(t, d.TakesRequests("a", 0), "the registry is as before")
+		assert.Assert(t, takesRequests(d, "a"), "the registry is as before")
 	})
 }
--- a/pkg/freshener/age_limit.go
+++ b/pkg/freshener/age_limit.go
@@ -4,7 +4,7 @@
 
 // AgeLimit limits the age of data by which decisions are made. The platform states how soon a
 // change must take effect; data that is older than that may miss one. If the platform cannot be
-// read, older data is used: nobody can do better, and callers are served.
+// read, older data is used, so that callers are served during an outage.
 type AgeLimit struct {
 	// Max is the age from which data is not used; 0 for no limit.
 	Max time.Duration
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -7,8 +7,8 @@
 // is kept for Settings.ReregistrationWindow, and removed if it has not come back by
 // then. An entry that marks its endpoint as draining takes effect at any time.
 //
-// Silence is not yet an outage: nobody may have asked, or the answer may have taken long. It is
-// one if a read failed, or if it lasted for so long that entries have expired anyway.
+// Time between two answers counts as an outage only if a read failed in it, or if it was so long
+// that entries may have expired.
 //
 // A registry may also come back from an older copy. Its entries are then those of some
 // time ago, until the endpoints have renewed them. For Settings.ReregistrationWindow,
@@ -199,7 +199,9 @@
 			r.setEntry(endpoint)
 		}
 	}
-	r.updateSortedEndpoints()
+	if len(changes.Draining)+len(changes.Removed) > 0 {
+		r.updateSortedEndpoints()
+	}
 
 	return changes
 }
