storer: Decode each entry of the list of instances by itself

One odd entry made the list of instances unreadable for serve, for as long as it stood. A field that nobody reads could do the same to a page or a watch of serve, since what was left of it was decoded as one document.

Change: the list of instances is split like the others, and of a page or watch only the fields that are used are decoded.

Measured: TestOddEntryDoesNotSpoilTheOthers of storer fails before ('exceeded max depth') and passes.

--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/oleanderpick/oleanderpick/internal/common/splitter"
 )
 
 // MaxSpecBytes is the maximum size of an object's spec or status, in bytes. A write of a
@@ -184,16 +186,22 @@
 	return changes, changed, err
 }
 
-// Instances returns the platform's list of instances. The list may be out of date.
+// Instances returns the platform's list of instances, without entries that cannot be decoded. The list
+// may be out of date.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	var answer struct {
-		Instances []Instance `json:"instances"`
-	}
+	var instances []Instance
 	_, err := c.call(ctx, Call{Verb: List, Kind: instancesKind}, func(_ uint64, body []byte) error {
-		return json.Unmarshal(body, &answer)
+		fields, err := splitter.Fields(body)
+		if err != nil {
+			return err
+		}
+		entries, err := splitter.Elements(fields["instances"])
+		decodeAll(entries, func(instance Instance) { instances = append(instances, instance) })
+
+		return err
 	})
 
-	return answer.Instances, err
+	return instances, err
 }
 
 // call makes a call and decodes its answer. It returns false without an error if a
--- a/internal/storer/client_test.go
+++ b/internal/storer/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -198,3 +199,30 @@
 		})
 	}
 }
+
+// Guards against a list of instances, endpoints or changes that cannot be read because one entry in it
+// cannot be decoded.
+func TestOddEntryDoesNotSpoilTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		odd := `{"name":"b","version":1e99,"state":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + `}`
+		network := piper.New()
+		network.Serve("store", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			list := `[{"name":"a","state":"live","version":1},` + odd + `]`
+			_, _ = io.WriteString(w, `{"revision":4,"more":true,"gone":["c"],"instances":`+list+`,"items":`+list+`}`)
+		}))
+		httpClient := network.Client()
+		client := storer.New("http://store", httpClient)
+		instances, err := client.Instances(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, instances, []storer.Instance{{Name: "a", State: "live"}})
+		page, err := client.List(t.Context(), "Lease", "", 0)
+		assert.NilError(t, err)
+		assert.Assert(t, len(page.Items) == 1 && page.HasMore && page.LastName == "b" && page.StoreCounter == 4)
+		changes, _, err := client.WatchKind(t.Context(), "Lease", 1, time.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, len(changes.Items) == 1 && changes.DeletedNames[0] == "c" && changes.StoreCounter == 4)
+		httpClient.CloseIdleConnections()
+		network.Close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/storer/dialect.go
+++ b/internal/storer/dialect.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/oleanderpick/oleanderpick/internal/common/splitter"
 )
 
@@ -187,8 +189,7 @@
 	if err != nil {
 		return Page{}, err
 	}
-	delete(fields, "items")
-	if err := decodeRest(fields, &page); err != nil {
+	if err := decodeFields(fields, map[string]any{"revision": &page.StoreCounter, "more": &page.HasMore}); err != nil {
 		return Page{}, err
 	}
 	page.Items = make([]Object, 0, len(items))
@@ -205,14 +206,17 @@
 	return page, nil
 }
 
-// decodeRest decodes the fields that are left of an object into a value.
-func decodeRest(fields map[string]json.RawMessage, value any) error {
-	rest, err := json.Marshal(fields)
-	if err != nil {
-		return err
+// decodeFields decodes the fields of an object that are there, by name.
+func decodeFields(fields map[string]json.RawMessage, values map[string]any) error {
+	for name, value := range values {
+		if encoded, ok := fields[name]; ok {
+			if err := json.Unmarshal(encoded, value); err != nil {
+				return errors.Wrap(err, name)
+			}
+		}
 	}
 
-	return json.Unmarshal(rest, value)
+	return nil
 }
 
 // DecodeChanges decodes the answer of a watch of a whole kind.
@@ -225,8 +229,7 @@
 	if err != nil {
 		return Changes{}, err
 	}
-	delete(fields, "items")
-	if err := decodeRest(fields, &changes); err != nil {
+	if err := decodeFields(fields, map[string]any{"revision": &changes.StoreCounter, "gone": &changes.DeletedNames}); err != nil {
 		return Changes{}, err
 	}
 	decodeAll(items, func(object Object) { changes.Items = append(changes.Items, object) })
