relayer: Limit the search for a next answer in a body

A body of a megabyte without length, in which heads begin again and again, was parsed from each of them on: an endpoint could take an instance's processor for minutes.

Change: 64 heads of 8 KB at the most are looked at. The log of a refusal also says whether the configuration is younger than the limit for changes, so that a lease on keys that has ended can be told from it.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -77,15 +77,21 @@
 	a.answered = true
 }
 
+// maxHeads and maxHeadBytes limit the heads of other answers that are looked for in a body.
+const (
+	maxHeads     = 64
+	maxHeadBytes = 8 << 10
+)
+
 // hasNextAnswer reports whether the head of another answer, which names a request, stands in a body.
 func (r *relayedRequest) hasNextAnswer(body []byte) bool {
-	for {
+	for range maxHeads {
 		start := bytes.Index(body, []byte("HTTP/1."))
 		if start < 0 {
 			return false
 		}
 		body = body[start:]
-		next, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body)), nil)
+		next, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body[:min(len(body), maxHeadBytes)])), nil)
 		if err == nil {
 			_ = next.Body.Close()
 			if r.relayer.codec.ParseResponse(next.StatusCode, next.Header).RequestID != "" {
@@ -94,6 +100,8 @@
 		}
 		body = body[len("HTTP/1."):]
 	}
+
+	return false
 }
 
 // acceptAnswer reports whether the answer is the final one. A 5xx status of a request
@@ -245,7 +253,7 @@
 	r.relayer.meter.CountError(err.Kind)
 	r.relayer.logger.Info("Refused.", "request", r.metadata.ID, "route", r.route.Name, "kind", answer.Name,
 		"status", answer.Status, "outcome", answer.Outcome.String(), "cause", err.Error(), "configuration", r.configurationNumber(),
-		"fresh configuration", r.relayer.dispatcher.IsConfigurationFresh(), "retry after ms", err.RetryAfter.Milliseconds(),
+		"fresh configuration", r.relayer.dispatcher.IsConfigurationFresh(), "young configuration", r.relayer.dispatcher.IsConfigurationYoung(), "retry after ms", err.RetryAfter.Milliseconds(),
 		"ms", time.Since(r.receivedAt).Milliseconds(), "connection ms", r.connectionAge().Milliseconds())
 	r.markElsewhere(err.Kind)
 	body, marshalErr := json.Marshal(map[string]string{"error": answer.Name, "outcome": answer.Outcome.String()})
--- a/internal/relayer/without_length_test.go
+++ b/internal/relayer/without_length_test.go
@@ -118,3 +118,20 @@
 		assert.Equal(t, h.arrivalCount(), 1)
 	})
 }
+
+// Guards against an instance that spends its time on a body in which heads begin again and again.
+func TestBodyOfManyHeadsIsReadInTime(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		body := strings.Repeat("A: HTTP/1.1 200 OK\r\n", 50_000)
+		h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+			if request := h.readRawRequest(reader); request != nil {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\n%s", request.Header.Get("X-Id"), body)
+				_ = conn.Close()
+			}
+		})
+		response, received, err := h.send(h.newRequest(http.MethodPost, "/once/x", ""))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, len(received), len(body))
+	})
+}
