--- a/internal/dispatcher/data_age.go
+++ b/internal/dispatcher/data_age.go
@@ -7,8 +7,7 @@
 	"github.com/oleanderpick/oleanderpick/pkg/freshener"
 )
 
-// maxDataWait is how long a request waits for the read that is on its way when the data is too old.
-// A read takes a second at the most, and begins long before the data is that old.
+// maxDataWait is how long a request waits for the read in progress when the data is too old.
 const maxDataWait = 500 * time.Millisecond
 
 // dataState is what a dispatcher knows of the age of one kind of data.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -105,7 +105,7 @@
 }
 
 // connectionTrace notes whether the connection of a request carried others before. An answer on
-// such a connection may be an earlier one that the endpoint wrote once more.
+// such a connection may be an earlier one that the endpoint wrote again.
 type connectionTrace struct {
 	isReused atomic.Bool
 }
--- a/internal/forwarder/plain_call_test.go
+++ b/internal/forwarder/plain_call_test.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// Guards against a booking that runs twice, or whose caller is told that it has not run, because a
-// service wrote an earlier refusal once more on a kept connection.
+// Guards against a call that runs twice, or that is reported as not run while it runs, after a service
+// has written an earlier refusal again on a reused connection.
 func TestEarlierRefusalIsNoProofThatACallDidNotStart(t *testing.T) {
 	for _, test := range []struct {
 		method         string
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -135,6 +135,7 @@
 	relayer       *relayer.Relayer
 	meter         *meter.Meter
 	bootClock     func() time.Duration
+	onDial        func(address string)    // is called when a connection to an endpoint is open; nil for none
 	wrapConn      func(net.Conn) net.Conn // wraps connections to endpoints; nil for none
 	suspendedTime time.Duration           // time that the machine was suspended; only the boot clock counts it
 	registered    []registrar.Endpoint    // what instances read that are started
@@ -179,6 +180,9 @@
 // dialEndpoint connects to an endpoint.
 func (h *harness) dialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := h.network.Dial(ctx, network, address)
+	if err == nil && h.onDial != nil {
+		h.onDial(address)
+	}
 	if err != nil || h.wrapConn == nil {
 		return conn, err
 	}
--- a/internal/relayer/raw_connection_test.go
+++ b/internal/relayer/raw_connection_test.go
@@ -197,9 +197,9 @@
 	})
 }
 
-// Guards against a request that runs twice, or whose caller is told that it has not run, because an
-// endpoint wrote an earlier refusal once more on a kept connection: with the ID of the request that it
-// refused, with none, or with that of the same request.
+// Guards against a request that runs twice, or that is reported as not run while it runs, after an
+// endpoint has written an earlier refusal again on a reused connection, with the ID of the refused
+// request or without one.
 func TestEarlierRefusalSaysNothingOfThisRequest(t *testing.T) {
 	refusal := func(status int, id string) string {
 		return fmt.Sprintf("HTTP/1.1 %d Refused\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nno", status, id)
