--- a/review/bench/caller.go
+++ b/review/bench/caller.go
@@ -12,9 +12,9 @@
 
 // call is one request of a caller.
 type call struct {
-	id, method, target, host, key string
-	deadline                      time.Duration
-	body                          []byte
+	id, method, target, key string
+	deadline                time.Duration
+	body                    []byte
 }
 
 // callAnswer is what a caller has received. The answer is whole if isWhole is set.
@@ -44,7 +44,7 @@
 		return callAnswer{err: err}
 	}
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n",
-		c.method, c.target, c.host, c.id, c.deadline.Milliseconds(), c.key, len(c.body))
+		c.method, c.target, callerHost, c.id, c.deadline.Milliseconds(), c.key, len(c.body))
 	if _, err := conn.Write(append([]byte(head), c.body...)); err != nil {
 		return callAnswer{err: err}
 	}
--- a/review/bench/foreign.go
+++ b/review/bench/foreign.go
@@ -39,7 +39,7 @@
 // playForeignAnswer lets a server send, after a few of its whole answers that have no length, its
 // answer to an earlier request once more. No caller may get bytes of that.
 func playForeignAnswer(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
-	f.store.Write("config", "main", configuration(3, route("lookups", "a.example", "/lookup/", "idempotent", 3000)))
+	f.store.Write("config", "main", configuration(3, route("lookups", "/lookup/", "idempotent", 3000), callerKey))
 	servers := make([]*foreignServer, 0, 2)
 	for i := range 2 {
 		server := &foreignServer{
@@ -50,15 +50,15 @@
 			return verdict{}, err
 		}
 		go serveConnections(listener, server.serve)
-		f.register(server.name, service, listener.Addr().String(), 6)
+		f.register(server.name, listener.Addr().String(), 6)
 		servers = append(servers, server)
 	}
-	if err := f.startRelays(ctx, 2); err != nil {
+	if err := f.startRelays(ctx); err != nil {
 		return verdict{}, err
 	}
 	whole, foreign := 0, 0
 	for i := range foreignCalls {
-		c := call{id: fmt.Sprintf("call-%d", i), method: http.MethodGet, target: fmt.Sprintf("/lookup/%d", i), host: "a.example", key: callerKey, deadline: 3 * time.Second}
+		c := call{id: fmt.Sprintf("call-%d", i), method: http.MethodGet, target: fmt.Sprintf("/lookup/%d", i), key: callerKey, deadline: 3 * time.Second}
 		answer := send(ctx, f.relays[i%2].front, c)
 		state, server := judge(servers, c.id, answer)
 		if state == "whole" {
--- a/review/bench/large.go
+++ b/review/bench/large.go
@@ -35,7 +35,7 @@
 // playPlannedStop stops a relay as planned while callers get long answers from it. The relay has time
 // to pass them on whole.
 func playPlannedStop(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
-	f.store.Write("config", "main", configuration(3, route("lookups", "a.example", "/lookup/", "idempotent", 3000)))
+	f.store.Write("config", "main", configuration(3, route("lookups", "/lookup/", "idempotent", 3000), callerKey))
 	servers := make([]*pacedServer, 0, 3)
 	for i := range 3 {
 		s := &pacedServer{name: fmt.Sprintf("i-%d", i+1), out: out, finished: map[string]bool{}, broken: map[string]time.Duration{}}
@@ -46,10 +46,10 @@
 		go func() {
 			_ = (&http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}).Serve(listener)
 		}()
-		f.register(s.name, service, listener.Addr().String(), 6)
+		f.register(s.name, listener.Addr().String(), 6)
 		servers = append(servers, s)
 	}
-	if err := f.startRelays(ctx, 2); err != nil {
+	if err := f.startRelays(ctx); err != nil {
 		return verdict{}, err
 	}
 	stopping := f.relays[0]
@@ -110,7 +110,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	c := call{id: id + "-first", method: http.MethodGet, target: "/lookup/short", host: "a.example", key: callerKey, deadline: 3 * time.Second}
+	c := call{id: id + "-first", method: http.MethodGet, target: "/lookup/short", key: callerKey, deadline: 3 * time.Second}
 	if answer := exchange(conn, reader, c); answer.status != http.StatusOK {
 		return answer
 	}
--- a/review/bench/memory.go
+++ b/review/bench/memory.go
@@ -49,7 +49,7 @@
 // playMemory sends requests with bodies as long as the configuration allows, and ends a relay as the
 // platform does once it exceeds the memory of its machine.
 func playMemory(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
-	f.store.Write("config", "main", configuration(3, route("postings", "a.example", "/postings/", "non_idempotent", 5000)))
+	f.store.Write("config", "main", configuration(3, route("postings", "/postings/", "non_idempotent", 5000), callerKey))
 	m := &memoryCase{out: out, body: make([]byte, largeBodyBytes), ran: map[string]bool{}}
 	for i := range 3 {
 		listener, err := listen(ctx)
@@ -59,9 +59,9 @@
 		go func() {
 			_ = (&http.Server{Handler: http.HandlerFunc(m.serve), ReadHeaderTimeout: time.Minute}).Serve(listener)
 		}()
-		f.register(fmt.Sprintf("i-%d", i+1), service, listener.Addr().String(), 64)
+		f.register(fmt.Sprintf("i-%d", i+1), listener.Addr().String(), 64)
 	}
-	if err := f.startRelays(ctx, 2); err != nil {
+	if err := f.startRelays(ctx); err != nil {
 		return verdict{}, err
 	}
 	callers := usualCallers
@@ -118,7 +118,7 @@
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for i := 0; time.Now().Before(end); i++ {
-		c := call{id: fmt.Sprintf("%s-%d-%d", r.name, caller, i), method: http.MethodPost, target: "/postings/1", host: "a.example", key: callerKey, deadline: 5 * time.Second}
+		c := call{id: fmt.Sprintf("%s-%d-%d", r.name, caller, i), method: http.MethodPost, target: "/postings/1", key: callerKey, deadline: 5 * time.Second}
 		if i > 0 { // The first request makes the connection a kept one.
 			c.body = m.body
 		}
--- a/review/bench/path.go
+++ b/review/bench/path.go
@@ -15,7 +15,7 @@
 // playDoubleSlash sends requests of which some have a path that begins with two slashes. Servers must
 // get each path as the caller sent it.
 func playDoubleSlash(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
-	f.store.Write("config", "main", configuration(3, route("postings", "a.example", "/", "non_idempotent", 3000)))
+	f.store.Write("config", "main", configuration(3, route("postings", "/", "non_idempotent", 3000), callerKey))
 	var mu sync.Mutex
 	ran := map[string]string{} // targets by request
 	listener, err := listen(ctx)
@@ -33,8 +33,8 @@
 		_, _ = io.WriteString(w, "done")
 	})
 	go func() { _ = (&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
-	f.register("i-1", service, listener.Addr().String(), 6)
-	if err := f.startRelays(ctx, 2); err != nil {
+	f.register("i-1", listener.Addr().String(), 6)
+	if err := f.startRelays(ctx); err != nil {
 		return verdict{}, err
 	}
 	changed, served := 0, 0
@@ -43,7 +43,7 @@
 		if hasTrouble && i%10 == 0 {
 			target = "/" + target
 		}
-		c := call{id: fmt.Sprintf("call-%d", i), method: http.MethodPost, target: target, host: "a.example", key: callerKey, deadline: 3 * time.Second, body: []byte("payoff")}
+		c := call{id: fmt.Sprintf("call-%d", i), method: http.MethodPost, target: target, key: callerKey, deadline: 3 * time.Second, body: []byte("payoff")}
 		answer := send(ctx, f.relays[i%2].front, c)
 		if answer.status == http.StatusOK {
 			served++
