review: Show the cut answers beside a change of the configuration

In the first form of the case a SIGTERM made the rule apply, but the answers were cut off without it too. Now the disruption makes the difference: the operator adds a route whose requests may go to two servers, and from then on each long answer is cut off 0.6 of goal_ms after the request was sent.

Order of events: calls, new route, calls, 1 MiB of an answer, 0.6 of goal_ms.

--- a/review/bench/configuration.go
+++ b/review/bench/configuration.go
@@ -14,9 +14,9 @@
 )
 
 // route returns a route to the service at the host a.example.
-func route(name, prefix, kind string, timeoutMs int) string {
+func route(name, prefix, kind string, timeoutMs, maxAttempts int) string {
 	return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":%q,"kind":%q,"timeout_ms":%d,"goal_ms":300,"priority":1,"service":%q,
-		"max_attempts":2,"public":false,"sticky":false,"can_resume":false}`, name, callerHost, prefix, kind, timeoutMs, service)
+		"max_attempts":%d,"public":false,"sticky":false,"can_resume":false}`, name, callerHost, prefix, kind, timeoutMs, service, maxAttempts)
 }
 
 // configuration returns what the operator writes: a tenant with some keys, and the limits of the pages'
--- a/review/bench/foreign.go
+++ b/review/bench/foreign.go
@@ -39,7 +39,7 @@
 // playForeignAnswer lets a server send, after a few of its whole answers that have no length, its
 // answer to an earlier request once more. No caller may get bytes of that.
 func playForeignAnswer(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
-	f.store.Write("config", "main", configuration(3, route("lookups", "/lookup/", "idempotent", 3000), callerKey))
+	f.store.Write("config", "main", configuration(3, route("lookups", "/lookup/", "idempotent", 3000, 2), callerKey))
 	servers := make([]*foreignServer, 0, 2)
 	for i := range 2 {
 		server := &foreignServer{
--- a/review/bench/large.go
+++ b/review/bench/large.go
@@ -8,37 +8,38 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
-	// pacedAnswerBytes is the size of the answers of playPlannedStop, and pacedPieceBytes and
+	// pacedAnswerBytes is the size of the answers of playLongAnswers, and pacedPieceBytes and
 	// pacedPieceTime the pace at which a server sends them: 100 Mbit/s.
 	pacedAnswerBytes = 5_000_000
 	pacedPieceBytes  = 125_000
 	pacedPieceTime   = 10 * time.Millisecond
-	// pacedCallers is the number of callers, each with a kept connection to the relay that stops.
+	// pacedCallers is the number of callers, each with a kept connection.
 	pacedCallers = 8
+	// stableTime is more than stable_ms, and inForceTime the time after the change until the next calls.
+	// The rule counts until config_ms + 1 s after the change: 3 s.
+	stableTime  = 3500 * time.Millisecond
+	inForceTime = 1200 * time.Millisecond
+	// maxCutRatio is how much more often a relay may cut answers beside a change.
+	maxCutRatio = 3
 )
 
 // pacedServer sends long answers at a steady pace.
 type pacedServer struct {
 	name string
 	out  *record
-
-	mu       sync.Mutex
-	finished map[string]bool // requests whose answers the server has sent whole
-	broken   map[string]time.Duration
 }
 
-// playPlannedStop stops a relay as planned while callers get long answers from it. The relay has time
-// to pass them on whole.
-func playPlannedStop(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
-	f.store.Write("config", "main", configuration(3, route("lookups", "/lookup/", "idempotent", 3000), callerKey))
-	servers := make([]*pacedServer, 0, 3)
+// playLongAnswers lets callers get long answers before and after the operator adds a route, which lets
+// them go to two servers.
+func playLongAnswers(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
+	lookups := route("lookups", "/lookup/", "idempotent", 3000, 1)
+	f.store.Write("config", "main", configuration(3, lookups, callerKey))
 	for i := range 3 {
-		s := &pacedServer{name: fmt.Sprintf("i-%d", i+1), out: out, finished: map[string]bool{}, broken: map[string]time.Duration{}}
+		s := &pacedServer{name: fmt.Sprintf("i-%d", i+1), out: out}
 		listener, err := listen(ctx)
 		if err != nil {
 			return verdict{}, err
@@ -47,58 +48,47 @@
 			_ = (&http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}).Serve(listener)
 		}()
 		f.register(s.name, listener.Addr().String(), 6)
-		servers = append(servers, s)
 	}
 	if err := f.startRelays(ctx); err != nil {
 		return verdict{}, err
 	}
-	stopping := f.relays[0]
+	time.Sleep(stableTime)
+	before := callAll(ctx, f, out, "before")
+	if hasTrouble {
+		f.store.Write("config", "main", configuration(4, lookups+","+route("long", "/lookup/long/", "idempotent", 3000, 2), callerKey))
+		out.printf("the store has acknowledged version 4 with one more route")
+	}
+	time.Sleep(inForceTime)
+	after := callAll(ctx, f, out, "after")
+	summary := fmt.Sprintf("%d of %d answers were cut off before the change, %d within the 2.5 s after it", before, pacedCallers, after)
+
+	return verdict{isBroken: hasTrouble && after > maxCutRatio*before, summary: summary}, nil
+}
+
+// callAll makes long calls, one on each kept connection, and returns how many answers were cut off
+// while their servers sent them.
+func callAll(ctx context.Context, f *fleet, out *record, when string) (cut int) {
+	startAt := time.Now().Add(200 * time.Millisecond)
 	var ended sync.WaitGroup
 	var mu sync.Mutex
-	whole, cut := 0, 0
-	stoppedAt := time.Now().Add(4 * time.Second) // The relays run for longer than stable_ms by then.
 	for caller := range pacedCallers {
 		ended.Go(func() {
-			answer := callOnKeptConnection(ctx, stopping.front, fmt.Sprintf("call-%d", caller), stoppedAt.Add(time.Duration(caller)*100*time.Millisecond))
-			mu.Lock()
-			defer mu.Unlock()
+			id := fmt.Sprintf("call-%s-%d", when, caller)
+			answer := callOnKeptConnection(ctx, f.relays[caller%relayCount].front, id, startAt.Add(time.Duration(caller)*100*time.Millisecond))
 			if answer.isWhole && answer.status == http.StatusOK && len(answer.body) == pacedAnswerBytes {
-				whole++
+				out.printf("%s got its whole answer", id)
 
 				return
 			}
+			out.printf("%s got status %d, stamp %q and %d of %d bytes: %v", id, answer.status, answer.stamp, len(answer.body), pacedAnswerBytes, answer.err)
+			mu.Lock()
+			defer mu.Unlock()
 			cut++
-			out.printf("call-%d got status %d and %d of %d bytes: %v", caller, answer.status, len(answer.body), pacedAnswerBytes, answer.err)
 		})
 	}
-	time.Sleep(time.Until(stoppedAt))
-	if hasTrouble {
-		out.printf("SIGTERM to %s", stopping.name)
-		if err := stopping.command.Process.Signal(syscall.SIGTERM); err != nil {
-			return verdict{}, err
-		}
-	}
 	ended.Wait()
-	time.Sleep(time.Second)
-
-	return judgeStop(servers, whole, cut, hasTrouble)
-}
-
-// judgeStop judges by the rule LOST, whose part for cut answers is about planned work only.
-func judgeStop(servers []*pacedServer, whole, cut int, hasTrouble bool) (verdict, error) {
-	summary := fmt.Sprintf("%d whole answers, %d cut off", whole, cut)
-	for _, s := range servers {
-		s.mu.Lock()
-		for id, after := range s.broken {
-			s.out.printf("%s was at work on %s when the connection ended, after %d ms", s.name, id, after.Milliseconds())
-		}
-		s.mu.Unlock()
-	}
-	if whole+cut == 0 {
-		return verdict{}, fmt.Errorf("the traffic did not flow: %s", summary)
-	}
 
-	return verdict{isBroken: hasTrouble && cut > 0, summary: summary}, nil
+	return cut
 }
 
 // callOnKeptConnection makes a short call on a new connection, and a long one on it at a time.
@@ -115,7 +105,7 @@
 		return answer
 	}
 	time.Sleep(time.Until(at))
-	c.id, c.target = id, "/lookup/long"
+	c.id, c.target = id, "/lookup/long/1"
 
 	return exchange(conn, reader, c)
 }
@@ -135,15 +125,10 @@
 	piece := make([]byte, pacedPieceBytes)
 	for sent := 0; sent < pacedAnswerBytes; sent += pacedPieceBytes {
 		if _, err := w.Write(piece); err != nil {
-			s.mu.Lock()
-			s.broken[id] = time.Since(startedAt)
-			s.mu.Unlock()
+			s.out.printf("%s was at work on %s when its connection ended, after %d ms", s.name, id, time.Since(startedAt).Milliseconds())
 
 			return
 		}
 		time.Sleep(time.Until(startedAt.Add(time.Duration(sent/pacedPieceBytes+1) * pacedPieceTime)))
 	}
-	s.mu.Lock()
-	s.finished[id] = true
-	s.mu.Unlock()
 }
--- a/review/bench/memory.go
+++ b/review/bench/memory.go
@@ -49,7 +49,7 @@
 // playMemory sends requests with bodies as long as the configuration allows, and ends a relay as the
 // platform does once it exceeds the memory of its machine.
 func playMemory(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
-	f.store.Write("config", "main", configuration(3, route("postings", "/postings/", "non_idempotent", 5000), callerKey))
+	f.store.Write("config", "main", configuration(3, route("postings", "/postings/", "non_idempotent", 5000, 1), callerKey))
 	m := &memoryCase{out: out, body: make([]byte, largeBodyBytes), ran: map[string]bool{}}
 	for i := range 3 {
 		listener, err := listen(ctx)
--- a/review/bench/path.go
+++ b/review/bench/path.go
@@ -15,7 +15,7 @@
 // playDoubleSlash sends requests of which some have a path that begins with two slashes. Servers must
 // get each path as the caller sent it.
 func playDoubleSlash(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
-	f.store.Write("config", "main", configuration(3, route("postings", "/", "non_idempotent", 3000), callerKey))
+	f.store.Write("config", "main", configuration(3, route("postings", "/", "non_idempotent", 3000, 1), callerKey))
 	var mu sync.Mutex
 	ran := map[string]string{} // targets by request
 	listener, err := listen(ctx)
--- a/review/bench/revoked.go
+++ b/review/bench/revoked.go
@@ -45,7 +45,7 @@
 // playRevokedKey takes a key away while callers send long requests with it slowly. No request that is
 // sent later than revokeTime after that may run.
 func playRevokedKey(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
-	routes := route("postings", "/postings/", "non_idempotent", 15000)
+	routes := route("postings", "/postings/", "non_idempotent", 15000, 1)
 	f.store.Write("config", "main", configuration(3, routes, callerKey, revokedKey))
 	listener, err := listen(ctx)
 	if err != nil {
