--- a/review/bench/fleet.go
+++ b/review/bench/fleet.go
@@ -82,6 +82,11 @@
 
 // register registers a server of the service in the store.
 func (f *fleet) register(id, address string, slots int) {
+	f.registerFor(service, id, address, slots)
+}
+
+// registerFor registers a server of a service in the store.
+func (f *fleet) registerFor(service, id, address string, slots int) {
 	born := time.Now().UnixMilli()
 	registration := func(seq int) string {
 		return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"zone-a","version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"seq":%d,"born":%d}`,
@@ -105,7 +110,7 @@
 }
 
 // startRelays starts relay processes and waits until each is ready.
-func (f *fleet) startRelays(ctx context.Context) error {
+func (f *fleet) startRelays(ctx context.Context, count int) error {
 	ports := make([]string, 0, portsPerRelay)
 	for range portsPerRelay {
 		address, err := freeAddress(ctx)
@@ -118,7 +123,7 @@
 		}
 		ports = append(ports, port)
 	}
-	for i := range relayCount {
+	for i := range count {
 		ip := fmt.Sprintf("127.0.1.%d", i+1)
 		r := &relay{name: fmt.Sprintf("edge-zone-a-%d", i+1), ip: ip, front: ip + ":" + ports[0], ready: ip + ":" + ports[1], exited: make(chan struct{})}
 		if err := f.startRelay(ctx, r, ports); err != nil {
--- a/review/bench/foreign.go
+++ b/review/bench/foreign.go
@@ -53,7 +53,7 @@
 		f.register(server.name, listener.Addr().String(), 6)
 		servers = append(servers, server)
 	}
-	if err := f.startRelays(ctx); err != nil {
+	if err := f.startRelays(ctx, relayCount); err != nil {
 		return verdict{}, err
 	}
 	whole, foreign := 0, 0
--- a/review/bench/large.go
+++ b/review/bench/large.go
@@ -49,7 +49,7 @@
 		}()
 		f.register(s.name, listener.Addr().String(), 6)
 	}
-	if err := f.startRelays(ctx); err != nil {
+	if err := f.startRelays(ctx, relayCount); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(stableTime)
--- a/review/bench/memory.go
+++ b/review/bench/memory.go
@@ -61,7 +61,7 @@
 		}()
 		f.register(fmt.Sprintf("i-%d", i+1), listener.Addr().String(), 64)
 	}
-	if err := f.startRelays(ctx); err != nil {
+	if err := f.startRelays(ctx, relayCount); err != nil {
 		return verdict{}, err
 	}
 	callers := usualCallers
--- a/review/bench/path.go
+++ b/review/bench/path.go
@@ -34,7 +34,7 @@
 	})
 	go func() { _ = (&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
 	f.register("i-1", listener.Addr().String(), 6)
-	if err := f.startRelays(ctx); err != nil {
+	if err := f.startRelays(ctx, relayCount); err != nil {
 		return verdict{}, err
 	}
 	changed, served := 0, 0
