--- a/review/bench/fleet.go
+++ b/review/bench/fleet.go
@@ -22,6 +22,7 @@
 	killTimeout       = 10 * time.Second
 	portsPerRelay     = 4
 	relayCount        = 2
+	plainSlots        = 6
 )
 
 // fleet is a small deployment on loopback addresses: the stand-in of the platform's store and
@@ -81,8 +82,8 @@
 }
 
 // register registers a server of the service in the store.
-func (f *fleet) register(id, address string, slots int) {
-	f.registerFor(service, id, address, slots)
+func (f *fleet) register(id, address string) {
+	f.registerFor(service, id, address, plainSlots)
 }
 
 // registerFor registers a server of a service in the store.
--- a/review/bench/foreign.go
+++ b/review/bench/foreign.go
@@ -50,7 +50,7 @@
 			return verdict{}, err
 		}
 		go serveConnections(listener, server.serve)
-		f.register(server.name, listener.Addr().String(), 6)
+		f.register(server.name, listener.Addr().String())
 		servers = append(servers, server)
 	}
 	if err := f.startRelays(ctx, relayCount); err != nil {
--- a/review/bench/large.go
+++ b/review/bench/large.go
@@ -47,7 +47,7 @@
 		go func() {
 			_ = (&http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}).Serve(listener)
 		}()
-		f.register(s.name, listener.Addr().String(), 6)
+		f.register(s.name, listener.Addr().String())
 	}
 	if err := f.startRelays(ctx, relayCount); err != nil {
 		return verdict{}, err
--- a/review/bench/path.go
+++ b/review/bench/path.go
@@ -33,7 +33,7 @@
 		_, _ = io.WriteString(w, "done")
 	})
 	go func() { _ = (&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
-	f.register("i-1", listener.Addr().String(), 6)
+	f.register("i-1", listener.Addr().String())
 	if err := f.startRelays(ctx, relayCount); err != nil {
 		return verdict{}, err
 	}
--- a/review/bench/prompts.go
+++ b/review/bench/prompts.go
@@ -61,7 +61,7 @@
 		if i < 9 {
 			f.registerFor(engineService, fmt.Sprintf("i-%d", i), listener.Addr().String(), 64)
 		} else {
-			f.register(fmt.Sprintf("i-%d", i), listener.Addr().String(), 6)
+			f.register(fmt.Sprintf("i-%d", i), listener.Addr().String())
 		}
 	}
 	if err := f.startRelays(ctx, promptRelays); err != nil {
