--- a/review/bench/fleet.go
+++ b/review/bench/fleet.go
@@ -99,6 +99,14 @@
 	f.store.Write("servers", id, registration(1))
 }
 
+// unregister removes a server from the store.
+func (f *fleet) unregister(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.servers, id)
+	f.store.Remove("servers", id)
+}
+
 // freeAddress returns a loopback address with a port that is free.
 func freeAddress(ctx context.Context) (string, error) {
 	listener, err := listen(ctx)
