placer: Let a misdirected endpoint get requests again

Cause: an answer of another server at an endpoint's address hid the endpoint for as long as its registration stayed as it was, whoever had sent it. Change: it is hidden for 2 s, twice as long each time up to 30 s. A registration that is out of date is corrected in that time; a sound endpoint comes back. Evidence: TestMisdirectedEndpointGetsRequestsAgain fails without it.

--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -67,7 +67,7 @@
 		request.Blocked = d.addProtected(now, d.blockedEndpoints(now, request.Tier, mayRequest), request.Tier, mayRequest)
 		placement.Choice, ok = d.placer.Pick(now, request)
 		if !ok {
-			if until := d.placer.BlockedUntil(request); !until.IsZero() {
+			if until := d.placer.BlockedUntil(now, request); !until.IsZero() {
 				placement.RetryAfter = until.Sub(now)
 			}
 
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -23,7 +23,8 @@
 	consecutiveEjections int
 	ejectedUntil         time.Time
 	refusedUntil         time.Time
-	isMisdirected        bool      // a different endpoint answers at its address
+	misdirectedUntil     time.Time // a different endpoint answers at its address
+	misdirections        int       // since its last answer
 	lastActivity         time.Time // time of the last event or answer from it
 	startedRequests      int       // local requests that sent their first event
 }
@@ -51,9 +52,9 @@
 }
 
 // isEligible reports whether the endpoint may get new requests at all: it is not
-// draining and it is the one that answers at its address.
-func (e *endpoint) isEligible() bool {
-	return !e.Draining && !e.isMisdirected
+// draining and, as far as is known, the one that answers at its address.
+func (e *endpoint) isEligible(now time.Time) bool {
+	return !e.Draining && !now.Before(e.misdirectedUntil)
 }
 
 // slotsOrDefault returns the number of requests that the endpoint runs in one batch,
@@ -110,13 +111,14 @@
 	switch result {
 	case Finished:
 		e.failureRatio -= failureSmoothingFactor * e.failureRatio
-		e.consecutiveFailures, e.consecutiveEjections = 0, 0
+		e.consecutiveFailures, e.consecutiveEjections, e.misdirections = 0, 0, 0
 		e.lastActivity = now
 	case Refused:
 		e.refusedUntil = now.Add(refusalCooldown)
 		e.lastActivity = now
 	case Misdirected:
-		e.isMisdirected = true
+		e.misdirectedUntil = now.Add(min(maxMisdirectionTime, baseMisdirectionTime<<min(e.misdirections, 4)))
+		e.misdirections++
 	case Unreachable:
 		e.eject(now)
 	case Failed:
--- a/pkg/placer/endpoint_test.go
+++ b/pkg/placer/endpoint_test.go
@@ -60,6 +60,24 @@
 	}
 }
 
+// Guards against a sound endpoint that stays hidden for good after one wrong answer of another server
+// at its address.
+func TestMisdirectedEndpointGetsRequestsAgain(t *testing.T) {
+	p := newPlacer("a", plainEndpoints(1))
+	request := placer.Request{Service: "api"}
+	now := start
+	for range 8 {
+		p.RecordSent(now, 1, pick(t, p, now, request), request)
+		p.RecordResult(now, 1, placer.Misdirected)
+		_, ok := p.Pick(now.Add(time.Second), request)
+		assert.Assert(t, !ok)
+		now = now.Add(30 * time.Second)
+	}
+	p.RecordSent(now, 1, pick(t, p, now, request), request)
+	p.RecordResult(now, 1, placer.Finished)
+	pick(t, p, now, request)
+}
+
 // An engine that restarts under the same ID has an empty cache and no load. Requests
 // from before the restart do not count against it.
 func TestRestartedEndpointHasNewState(t *testing.T) {
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -124,13 +124,13 @@
 	return s.pickEngine(), true
 }
 
-// BlockedUntil returns the earliest time at which one of the endpoints that are blocked for
-// a request may get it; zero if none of its service's endpoints is blocked.
-func (p *Placer) BlockedUntil(request Request) time.Time {
+// BlockedUntil returns the earliest time from now on at which one of the endpoints that are blocked
+// for a request may get it; zero if none of its service's endpoints is blocked.
+func (p *Placer) BlockedUntil(now time.Time, request Request) time.Time {
 	var earliest time.Time
 	for id, until := range request.Blocked {
 		e := p.endpoints[id]
-		if e != nil && e.Service == request.Service && e.isEligible() && request.fitsVersion(e) && (earliest.IsZero() || until.Before(earliest)) {
+		if e != nil && e.Service == request.Service && e.isEligible(now) && request.fitsVersion(e) && (earliest.IsZero() || until.Before(earliest)) {
 			earliest = until
 		}
 	}
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -22,7 +22,7 @@
 // collectCandidates finds the endpoints that may run the request.
 func (s *search) collectCandidates() {
 	for _, e := range s.service.endpoints {
-		if e.isEligible() {
+		if e.isEligible(s.now) {
 			s.eligible = append(s.eligible, e)
 		}
 	}
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -116,6 +116,12 @@
 	baseEjectionTime = 500 * time.Millisecond
 	// maxEjectionTime is the longest ejection of an endpoint.
 	maxEjectionTime = 4 * time.Second
+	// baseMisdirectionTime is how long an endpoint gets no requests after another one answered at its
+	// address. It doubles each time, as a registration that is out of date is corrected in a few
+	// seconds, and ends, as the answer may have been wrong.
+	baseMisdirectionTime = 2 * time.Second
+	// maxMisdirectionTime is the longest of these times.
+	maxMisdirectionTime = 30 * time.Second
 	// failureSmoothingFactor is the weight of the newest result in an endpoint's
 	// failure ratio.
 	failureSmoothingFactor = 0.15
