relayer, connector: Believe a refusal only from one whole message

Callers: a request that had run was sent to a second endpoint, or was answered 503, not run. Cause: the parts of a statement came from different messages, or from none that was whole. HTTP/1.1 delimits messages by their own contents, so the head of a refusal that was broken off and the whole answer behind it parse as one answer: its status and mark are those of the first, the request's ID that of the second. Refusals without an ID, or with a body that was broken off, were believed too. Change: connector fails an attempt if the head of its answer contains the start of another one (internal/common/verifier); this holds for each answer, so a status, limit or pause from a mixed head is not believed either. A refusal counts only if it names the request and no other, has a status that refuses, no stamp of a run, and a whole body without another answer. Failed attempts log what their answers stated. Bodies with a length are searched for another answer to the same request too. TestEndlessBytesEndTheAttempt expected up to three attempts and 503 after a refusal without end. That is not whole, so now it asks for one attempt and 502, like the other cases.

--- /dev/null
+++ b/internal/common/verifier/verifier_test.go
@@ -0,0 +1,66 @@
+package verifier_test
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
+)
+
+// check parses an answer and checks its head.
+func check(text string) error {
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+
+	return verifier.CheckHead(response)
+}
+
+func TestCheckHeadAcceptsSingleAnswers(t *testing.T) {
+	for name, text := range map[string]string{
+		"success":       "HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+		"no reason":     "HTTP/1.1 200\r\nA: b\r\n\r\n",
+		"names HTTP":    "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy, HTTP/1.0 200ms\r\n\r\n",
+		"names version": "HTTP/1.1 505 HTTP/1.1 Not Supported\r\nA: b\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { assert.NilError(t, check(text)) })
+	}
+}
+
+// Guards against a head that is read from the beginning of one answer and the whole of another, wherever
+// the first one was broken off.
+func TestNoTwoAnswersMakeOneHead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(label string) string {
+			status := rapid.SampledFrom([]string{"200 OK", "421 Misdirected Request", "503 Busy: full", "429", "204 "}).Draw(t, label)
+			fields := rapid.SliceOfN(rapid.SampledFrom([]string{"A: b c", "Not-Run: 1", "Request-Id: r1", "Long: a\r\n b"}), 0, 3).Draw(t, label)
+
+			return fmt.Sprintf("HTTP/1.1 %s\r\n%s\r\n", status, strings.Join(append(fields, ""), "\r\n"))
+		}
+		first, second := draw("first"), draw("second")
+		cut := rapid.IntRange(1, len(first)-len("\r\n")-1).Draw(t, "cut")
+		if err := check(first[:cut] + second); err == nil {
+			t.Fatalf("%q", first[:cut]+second)
+		}
+	})
+}
+
+func TestCheckHeadNamesItsError(t *testing.T) {
+	assert.Assert(t, errors.Is(check("HTTP/1.1 421 MisHTTP/1.1 200 OK\r\nA: b\r\n\r\n"), verifier.ErrSeveralMessages))
+}
+
+func TestFindHeadPassesOverHeadsThatAreNotAccepted(t *testing.T) {
+	accept := func(response *http.Response) bool { return response.Header.Get("A") == "b" }
+	const head = "HTTP/1.1 200 OK\r\nA: %s\r\n\r\n"
+	assert.Assert(t, verifier.FindHead([]byte("text"+fmt.Sprintf(head, "c")+fmt.Sprintf(head, "b")), accept))
+	assert.Assert(t, !verifier.FindHead([]byte("HTTP/1.1 text"+fmt.Sprintf(head, "c")), accept))
+}
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 )
 
 // ErrNotSent means that no byte of the request was sent.
@@ -215,6 +217,11 @@
 	c.endpointStart = &unixMs
 }
 
+// SentRequests returns the number of requests that were sent on the connection.
+func (c *Connection) SentRequests() int {
+	return c.sent
+}
+
 // IsFirstRequest reports whether the last request that was sent was the first one on the connection.
 // Its answer cannot be that of an earlier one.
 func (c *Connection) IsFirstRequest() bool {
@@ -228,13 +235,17 @@
 
 // Send sends the request and returns the response, whose body is still to be read. It
 // calls beforeFirstByte right before it writes the first byte; an error of that function
-// stops the request. The error wraps ErrNotSent if no byte of the request was sent. On
+// stops the request. The error wraps ErrNotSent if no byte of the request was sent, and
+// verifier.ErrSeveralMessages if the head of the response is not that of a single answer. On
 // an error the connection is closed.
 func (c *Connection) Send(request *http.Request, beforeFirstByte func() error) (*http.Response, error) {
 	c.sent++
 	writtenBefore := c.conn.writtenBytes.Load()
 	c.conn.callBeforeNextWrite(beforeFirstByte)
 	response, err := c.client.RoundTrip(request)
+	if err == nil {
+		err = verifier.CheckHead(response)
+	}
 	if err == nil {
 		return response, nil
 	}
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -13,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 )
@@ -46,8 +46,8 @@
 
 		return
 	}
-	if endsWithConnection(a.response) && r.hasNextAnswer(buffer.Bytes()) {
-		r.failAttempt(ctx, a, errors.New("another answer stands behind the answer, which has no length"))
+	if r.hasNextAnswer(a.response, buffer.Bytes()) {
+		r.failAttempt(ctx, a, errors.New("the body contains another answer"))
 
 		return
 	}
@@ -77,31 +77,15 @@
 	a.answered = true
 }
 
-// maxHeads and maxHeadBytes limit the heads of other answers that are looked for in a body.
-const (
-	maxHeads     = 64
-	maxHeadBytes = 8 << 10
-)
+// hasNextAnswer reports whether the head of another answer stands in a body. If only the end of the
+// connection ends the body, that is one that names any request. If the body has a length or chunks, which
+// a broken-off answer has too, it is one that names this request.
+func (r *relayedRequest) hasNextAnswer(response *http.Response, body []byte) bool {
+	return verifier.FindHead(body, func(next *http.Response) bool {
+		id := r.relayer.codec.ParseResponse(next.StatusCode, next.Header).RequestID
 
-// hasNextAnswer reports whether the head of another answer, which names a request, stands in a body.
-func (r *relayedRequest) hasNextAnswer(body []byte) bool {
-	for range maxHeads {
-		start := bytes.Index(body, []byte("HTTP/1."))
-		if start < 0 {
-			return false
-		}
-		body = body[start:]
-		next, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body[:min(len(body), maxHeadBytes)])), nil)
-		if err == nil {
-			_ = next.Body.Close()
-			if r.relayer.codec.ParseResponse(next.StatusCode, next.Header).RequestID != "" {
-				return true
-			}
-		}
-		body = body[len("HTTP/1."):]
-	}
-
-	return false
+		return id != "" && (id == r.metadata.ID || endsWithConnection(response))
+	})
 }
 
 // acceptAnswer reports whether the answer is the final one. A 5xx status of a request
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -26,6 +26,10 @@
 	connection *connector.Connection
 	sentAt     time.Time
 	response   *http.Response
+	// answeredID is the ID of the request that the response names, and requestNumber the number of
+	// requests that were sent on the connection by then.
+	answeredID    string
+	requestNumber int
 	// endpointLoad is the load that the endpoint stated in its response; nil if none.
 	endpointLoad *EndpointLoad
 	// rateLimit is the limit that the endpoint stated in its response; nil if none.
@@ -211,6 +215,7 @@
 	r.relayer.logger.Info("Attempt failed.", "request", r.metadata.ID, "route", r.route.Name, "endpoint", a.placement.EndpointID,
 		"result", a.result.String(), "endpoint load", a.endpointLoad.String(), "endpoint limit", a.rateLimit.String(), "known running", a.placement.KnownLoad.RunningRequests, "may have run", a.mayHaveRun, "begun", r.answerStarted, "begun there", a.hasBegun, "blocks", isolator.FormatBlocks(r.metadata.SharedBlocks()), "runs", r.possibleRuns, "refusals", r.refusals, "unsent", r.unsentAttempts,
 		"cause", causeText(a.failureCause), "decision", decisionName(reason))
+	r.logAnswer(a)
 	r.relayer.meter.CountRetryDecision(decisionName(reason))
 	if reason == retrier.ReasonNone {
 		return true
@@ -220,6 +225,16 @@
 	return false
 }
 
+// logAnswer logs what a failed attempt's answer states, and how far that can be trusted.
+func (r *relayedRequest) logAnswer(a *attempt) {
+	if a.response == nil {
+		return
+	}
+	r.relayer.logger.Info("Answer was not used.", "request", r.metadata.ID, "endpoint", a.placement.EndpointID, "status", a.response.StatusCode,
+		"answer to", a.answeredID, "length", a.response.ContentLength, "requests on connection", a.requestNumber, "may have run", a.mayHaveRun, "ms", time.Since(a.sentAt).Milliseconds(), "cause", causeText(a.failureCause))
+	r.relayer.meter.Add("answers.unused", 1)
+}
+
 // decisionName returns the name for logs and counters of a reason not to repeat, or of
 // the repeat if there is none.
 func decisionName(reason string) string {
--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -68,10 +68,11 @@
 
 // ResponseMetadata is what an endpoint's headers and status state about its answer.
 type ResponseMetadata struct {
-	// RequestID is the ID of the request that is answered.
+	// RequestID is the ID of the request that is answered; empty if none or several are stated.
 	RequestID string
-	// NotRun is true if the endpoint states that it did not run the request.
-	NotRun bool
+	// NotRun is true if the answer states that the endpoint did not run the request, and HasRun if
+	// it has what only the answer of a request that ran has.
+	NotRun, HasRun bool
 	// Misdirected is true if another endpoint answers at the address.
 	Misdirected bool
 	// Load is the endpoint's own load when it began the answer; nil if not stated.
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -18,9 +18,6 @@
 // closes the connection.
 const maxEndlessBytes = 256 << 10
 
-// maxRefusedAttempts is the number of attempts that a request may have if each is refused.
-const maxRefusedAttempts = 3
-
 // serveEndless registers an endpoint that answers each request with the given beginning and
 // then with the same line until the connection is closed. It returns the number of bytes
 // that were taken.
@@ -68,16 +65,12 @@
 				sentAt := time.Now()
 				response, _, err := h.send(h.newRequest(http.MethodPost, test.path, ""))
 				assert.NilError(t, err)
-				wantStatus, maxArrivals := http.StatusBadGateway, 1
-				if name == "refusal" {
-					wantStatus, maxArrivals = http.StatusServiceUnavailable, maxRefusedAttempts
-				}
-				assert.Equal(t, response.StatusCode, wantStatus)
+				assert.Equal(t, response.StatusCode, http.StatusBadGateway)
 				assert.Assert(t, time.Since(sentAt) < time.Second, "answered after %v", time.Since(sentAt))
 				if name != "unmarked refusal" {
 					assert.Assert(t, taken.Load() <= maxEndlessBytes, "%d bytes read", taken.Load())
 				}
-				assert.Assert(t, h.arrivalCount() <= maxArrivals, "%d arrivals", h.arrivalCount())
+				assert.Equal(t, h.arrivalCount(), 1)
 			})
 		})
 	}
--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -75,7 +75,10 @@
 
 func (testCodec) ParseResponse(status int, header http.Header) relayer.ResponseMetadata {
 	metadata := relayer.ResponseMetadata{
-		RequestID: header.Get("X-Id"), NotRun: header.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
+		NotRun: header.Get("X-Not-Run") != "" || status == http.StatusMisdirectedRequest, HasRun: header.Get("X-Ran") != "", Misdirected: status == http.StatusMisdirectedRequest,
+	}
+	if ids := header.Values("X-Id"); len(ids) == 1 {
+		metadata.RequestID = ids[0]
 	}
 	if text := header.Get("X-Brittle"); text != "" {
 		rate, err := strconv.ParseFloat(text, 64)
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -17,39 +17,51 @@
 // forwarded or discarded, or whether the attempt has failed.
 func (r *relayedRequest) handleResponse(ctx context.Context, a *attempt) {
 	metadata := r.relayer.codec.ParseResponse(a.response.StatusCode, a.response.Header)
-	a.endpointLoad, a.rateLimit = metadata.Load, metadata.RateLimit
-	isOwn := metadata.RequestID == r.metadata.ID || (metadata.RequestID == "" && metadata.NotRun && a.connection.IsFirstRequest())
+	a.endpointLoad, a.rateLimit, a.answeredID = metadata.Load, metadata.RateLimit, metadata.RequestID
+	isOwn := metadata.RequestID == r.metadata.ID
 	if isOwn && !metadata.Misdirected {
 		r.recordLimit(a, metadata)
 		r.recordMaxRejections(a, metadata)
 		r.recordAvailability(a, metadata)
 	}
+	isRefusal := metadata.Misdirected || (metadata.NotRun && a.response.StatusCode != http.StatusBadRequest)
+	a.mayHaveRun = true // Unless a refusal proves the opposite.
 	switch {
 	case !isOwn: // It may be an earlier answer, which says nothing of this request.
-		a.mayHaveRun = true
 		r.failAttempt(ctx, a, errors.Errorf("answer is for request %q", metadata.RequestID))
-	case metadata.Misdirected:
-		a.result, a.failureCause = placer.Misdirected, errors.New("another endpoint has the address")
-		r.discardResponse(a)
+	case isRefusal:
+		r.handleRefusal(ctx, a, metadata)
 	case a.response.Header.Get("Content-Encoding") != "":
-		a.mayHaveRun = true
 		r.failAttempt(ctx, a, errors.New("answer has a content encoding"))
-	case metadata.NotRun && a.response.StatusCode != http.StatusBadRequest:
-		a.result, a.failureCause = placer.Refused, errors.Errorf("refused with status %d", a.response.StatusCode)
-		r.relayer.dispatcher.RecordRejection(a.placement)
-		r.discardResponse(a)
 	case a.response.StatusCode == http.StatusOK && isEventStream(a.response.Header):
-		a.mayHaveRun = true
 		r.forwardStream(ctx, a)
 	case r.answerStarted:
-		a.mayHaveRun = true
 		r.failAttempt(ctx, a, errors.Errorf("status %d instead of further events", a.response.StatusCode))
 	default:
-		a.mayHaveRun = true
 		r.forwardBuffered(ctx, a)
 	}
 }
 
+// handleRefusal ends an attempt whose answer states that the request was not run. The statement
+// holds only if one whole message makes it, which names the request and says nothing to the contrary.
+func (r *relayedRequest) handleRefusal(ctx context.Context, a *attempt, metadata ResponseMetadata) {
+	switch {
+	case r.metadata.ID == "":
+		r.failAttempt(ctx, a, errors.New("a refusal names no request"))
+	case metadata.HasRun || !promisesNotRun(a.response.StatusCode):
+		r.failAttempt(ctx, a, errors.Errorf("status %d says both that the request ran and that it did not", a.response.StatusCode))
+	case !r.discardResponse(a):
+		r.failAttempt(ctx, a, errors.New("a refusal is not whole"))
+	case metadata.Misdirected:
+		a.mayHaveRun = false
+		a.result, a.failureCause = placer.Misdirected, errors.New("another endpoint has the address")
+	default:
+		a.mayHaveRun = false
+		a.result, a.failureCause = placer.Refused, errors.Errorf("refused with status %d", a.response.StatusCode)
+		r.relayer.dispatcher.RecordRejection(a.placement)
+	}
+}
+
 // recordLimit records what an answer says of its endpoint's limit. A limit that cannot be
 // read leaves the one before in force, and so does a refusal or failure that states none:
 // only a served request shows that the endpoint needs none any more.
@@ -129,15 +141,18 @@
 // refusals arrive with their headers.
 const maxDiscardTime = 100 * time.Millisecond
 
-// discardResponse reads the body of an answer that is not forwarded.
-func (r *relayedRequest) discardResponse(a *attempt) {
+// discardResponse reads the body of an answer that is not forwarded. It returns false if the body is not
+// whole, is too long, or contains another answer to the request; the connection is closed then.
+func (r *relayedRequest) discardResponse(a *attempt) bool {
 	timer := time.AfterFunc(maxDiscardTime, a.connection.Close)
 	defer timer.Stop()
-	n, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, maxDiscardedBytes))
-	if err != nil || n == maxDiscardedBytes {
+	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxDiscardedBytes))
+	if err != nil || len(body) == maxDiscardedBytes || r.hasNextAnswer(a.response, body) {
 		a.connection.Close()
 
-		return
+		return false
 	}
 	r.releaseConnection(a)
+
+	return true
 }
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -42,7 +42,7 @@
 	a.sentAt = time.Now()
 	request := r.outgoingRequest(ctx, a.placement)
 	response, err := a.connection.Send(request, func() error { return r.checkEndpoint(a.placement) }) //nolint:bodyclose // The body is read to its end or closed with the connection.
-	a.response = response
+	a.response, a.requestNumber = response, a.connection.SentRequests()
 	if errors.Is(err, errEndpointLeft) || errors.Is(err, errOldRegistry) {
 		a.sentAt = time.Time{}
 		r.failUnsent(ctx, a, err)
