relayer: Let a peer name the request that it did not take

Callers: a request that must run once could run twice if the instance reached no endpoints. A peer's "not taken" named no request, and an endpoint could set it: the peer copied the header Oleanderpick-Elsewhere of the endpoint's answer over its own. Change: answers between instances repeat the request's ID (Oleanderpick-Answers). Another ID means "may have run"; none, as older instances give it, counts on new connections only. The endpoint's fields of these names are left out.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -146,7 +145,11 @@
 // A length of -1 means that it is unknown.
 func (r *relayedRequest) writeAnswerHeader(response *http.Response, length int64) {
 	header := r.w.Header()
-	maps.Copy(header, response.Header)
+	for name, values := range response.Header {
+		if name != elsewhereHeader && name != answeredHeader { // Only this instance may set them.
+			header[name] = values
+		}
+	}
 	StripHopByHopHeaders(header)
 	if r.incoming.Method != http.MethodHead {
 		header.Del("Content-Length")
--- a/internal/relayer/peer.go
+++ b/internal/relayer/peer.go
@@ -24,6 +24,9 @@
 	// elsewhereHeader states in each answer to a request that was passed on whether another
 	// instance may serve the request. A peer that does not know such requests sets none and answers 404.
 	elsewhereHeader = "Oleanderpick-Elsewhere"
+	// answeredHeader repeats in each of these answers the ID of the request that was passed on. Older
+	// instances set none.
+	answeredHeader = "Oleanderpick-Answers"
 )
 
 // Values of elsewhereHeader.
@@ -128,28 +131,37 @@
 
 		return
 	}
-	a.response = response
-	switch elsewhere := response.Header.Get(elsewhereHeader); {
-	case elsewhere == tryElsewhere || (elsewhere == "" && response.StatusCode == http.StatusNotFound):
-		a.failureCause = errElsewhere
-		r.discardResponse(a)
+	a.response, a.requestNumber, a.mayHaveRun = response, connection.SentRequests(), true
+	a.answeredID = response.Header.Get(answeredHeader)
+	elsewhere := response.Header.Get(elsewhereHeader)
+	isNotTaken := elsewhere == tryElsewhere || (elsewhere == "" && response.StatusCode == http.StatusNotFound)
+	switch {
+	case !a.isNamedByPeer(r.metadata.ID):
+		r.failAttempt(ctx, a, errors.Errorf("the peer's answer is for request %q", a.answeredID))
+
+		return
+	case isNotTaken && !r.discardResponse(a):
+		r.failAttempt(ctx, a, errors.New("the peer's refusal is not whole"))
+
+		return
+	case isNotTaken:
+		a.mayHaveRun, a.failureCause = false, errElsewhere
 
 		return
 	case elsewhere != isFinal: // No instance answers so; the request may have reached something else.
-		a.mayHaveRun = true
 		r.failAttempt(ctx, a, errors.New("the answer is not that of an instance"))
 
 		return
 	}
+	response.Header.Del(answeredHeader)
 	response.Header.Del(elsewhereHeader)
-	a.mayHaveRun = true
 	switch {
 	case response.StatusCode == http.StatusOK && isEventStream(response.Header):
 		r.forwardStream(ctx, a)
 	case r.answerStarted:
 		r.failAttempt(ctx, a, errors.Errorf("status %d instead of further events", response.StatusCode))
 	case r.mayHaveRun && promisesNotRun(response.StatusCode):
-		a.mayHaveRun, a.answered = false, true
+		a.answered = true
 		r.discardResponse(a)
 		r.finishUnanswered(ctx, answerer.KindUncertain, 0)
 	default:
@@ -157,6 +169,16 @@
 	}
 }
 
+// isNamedByPeer reports whether a peer's answer is that to the request with an ID. One that names none, as
+// older instances give it, is if no other request was sent on the connection.
+func (a *attempt) isNamedByPeer(id string) bool {
+	if _, isNamed := a.response.Header[answeredHeader]; !isNamed {
+		return a.connection.IsFirstRequest()
+	}
+
+	return a.answeredID == id
+}
+
 // peerRequest returns the request as a peer gets it: like the caller's, with the time left and
 // the events that have been forwarded.
 func (r *relayedRequest) peerRequest(ctx context.Context) *http.Request {
@@ -196,6 +218,7 @@
 	incoming.Header.Del(relayedRunsHeader)
 	incoming.Header.Del(configurationHeader)
 	w.Header().Set(elsewhereHeader, isFinal)
+	w.Header().Set(answeredHeader, r.codec.ParseRequest(incoming.Header).ID)
 	r.serve(w, incoming, passedOnState{isPassedOn: true, possibleRuns: runs, configurationNumber: number})
 }
 
