forwarder: Believe an engine's "not started" only from one whole message that says so

Callers of serve: a call that an endpoint ran could be reported as not run, or run again. Cause: as in relay, a head read from two messages was believed, and so was a refusal whose body was broken off. Besides, the answer to a cancellation counted as "not started" if it left that out: an empty object did. Change: all answers' heads are checked (internal/common/verifier), a refusal's body must be whole and hold no other answer, and a cancellation proves something only if it says canceled and not started.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -14,6 +15,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
 	"github.com/oleanderpick/oleanderpick/pkg/joiner"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
@@ -45,15 +47,15 @@
 // New returns a forwarder whose streams use the given settings of the joiner.
 func New(settings joiner.Settings) *Forwarder {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	newTransport := func(keepAlive bool) *http.Transport {
-		return &http.Transport{
+	newTransport := func(keepAlive bool) http.RoundTripper {
+		return verifiedTransport{&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableKeepAlives:   !keepAlive,
 			DisableCompression:  true,
 			ReadBufferSize:      readBufferBytes,
-		}
+		}}
 	}
 
 	return &Forwarder{
@@ -63,6 +65,26 @@
 	}
 }
 
+// verifiedTransport fails requests whose answers are read from several messages.
+type verifiedTransport struct {
+	*http.Transport
+}
+
+// RoundTrip sends the request and checks the head of its answer.
+func (t verifiedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := verifier.CheckHead(response); err != nil {
+		_ = response.Body.Close()
+
+		return nil, err
+	}
+
+	return response, nil
+}
+
 // Close closes the idle connections.
 func (f *Forwarder) Close() {
 	f.pooledClient.CloseIdleConnections()
@@ -117,13 +139,16 @@
 	}))
 }
 
+// maxRefusalBytes limits the body of a refusal.
+const maxRefusalBytes = 64 << 10
+
 // failureFromResponse returns the failure of a request that the endpoint answered with
 // an error. Only the header X-Started with the value false proves that the endpoint did
-// not start the request, and only in an answer that is that of no earlier one: isNewConnection is
+// not start the request, and only in a whole answer that is that of no earlier one: isNewConnection is
 // true, or the answer states the request's ID.
 func failureFromResponse(response *http.Response, isNewConnection bool, requestID string) retrier.Failure {
 	isOwn := isNewConnection || (requestID != "" && response.Header.Get(requestIDHeader) == requestID)
-	if isOwn && response.Header.Get("X-Started") == "false" {
+	if isOwn && response.Header.Get("X-Started") == "false" && isWholeRefusal(response) {
 		return retrier.Failure{
 			Kind:        answerer.KindRefusedByEndpoint,
 			StartStatus: retrier.ConfirmedNeverStarted(),
@@ -133,6 +158,13 @@
 	return retrier.Failure{Kind: answerer.KindUncertain, StartStatus: retrier.StartUnknown()}
 }
 
+// isWholeRefusal reads the body of a refusal and reports whether it is whole and the only answer.
+func isWholeRefusal(response *http.Response) bool {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
+
+	return err == nil && len(body) < maxRefusalBytes && !verifier.FindHead(body, func(*http.Response) bool { return true })
+}
+
 // newDetachedContext returns a context for work that continues after the caller
 // disconnects.
 func newDetachedContext(timeout time.Duration) (context.Context, context.CancelFunc) {
--- a/internal/forwarder/model_call.go
+++ b/internal/forwarder/model_call.go
@@ -25,13 +25,20 @@
 	Priority int
 }
 
-// streamStatus is the status of a stream as its engine reports it.
+// streamStatus is the status of a stream as its engine reports it. Started is nil if the engine does not
+// say whether the stream started.
 type streamStatus struct {
 	State          string `json:"state"`
-	Started        bool   `json:"started"`
+	Started        *bool  `json:"started"`
 	ProducedTokens int    `json:"tokens"`
 }
 
+// isNeverStarted reports whether the engine states that the stream was canceled before it started. An
+// engine that does not know the stream may have lost it in a crash.
+func (status streamStatus) isNeverStarted() bool {
+	return status.Started != nil && !*status.Started && status.toJoinerState() == joiner.StateCanceled
+}
+
 // maxStatusBytes is the maximum number of bytes that are read of a status response.
 const maxStatusBytes = 4096
 
--- a/internal/forwarder/stream_attempt.go
+++ b/internal/forwarder/stream_attempt.go
@@ -260,7 +260,7 @@
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, action := range s.joiner.OnProbeReply(time.Now(), status.toJoinerState(), status.Started, status.ProducedTokens) {
+	for _, action := range s.joiner.OnProbeReply(time.Now(), status.toJoinerState(), status.Started != nil && *status.Started, status.ProducedTokens) {
 		s.apply(action)
 	}
 	s.scheduleTick()
@@ -336,9 +336,7 @@
 	ctx, cancel := newDetachedContext(cancelTimeout)
 	defer cancel()
 	status, err := s.forwarder.requestStreamStatus(ctx, http.MethodDelete, s.call)
-	// An engine that doesn't know the stream may have lost it in a crash, so only
-	// the status of a stream that it knows proves that the stream did not start.
-	if err == nil && status.State != "unknown" && !status.Started && s.chunkCount == 0 {
+	if err == nil && status.isNeverStarted() && s.chunkCount == 0 {
 		failure.StartStatus = retrier.ConfirmedNeverStarted()
 	}
 
