relayer: Search large answers for another answer as well

Cause: the search for another answer ended with the part that is kept; the rest was copied unseen. Change: verifier.Reader searches a body as it passes, and keeps back no more than what may be a head.

--- a/internal/common/verifier/verifier_test.go
+++ b/internal/common/verifier/verifier_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
@@ -64,3 +67,29 @@
 	assert.Assert(t, verifier.FindHead([]byte("text"+fmt.Sprintf(head, "c")+fmt.Sprintf(head, "b")), accept))
 	assert.Assert(t, !verifier.FindHead([]byte("HTTP/1.1 text"+fmt.Sprintf(head, "c")), accept))
 }
+
+// In whatever pieces a body arrives, a Reader passes on all of it, or what stands before the first
+// head that FindHead finds.
+func TestReaderPassesOnWhatStandsBeforeAnotherAnswer(t *testing.T) {
+	accept := func(response *http.Response) bool { return response.Header.Get("Request-Id") != "" }
+	pieces := []string{
+		"text", "HTTP/1.", "HTTP/1.1 200 OK", "\r\n", "\n", "Request-Id: r0", "A: b", strings.Repeat("x", verifier.MaxHeadBytes),
+		"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n", "HTTP/1.1 503 Busy\r\nA: b\r\n\r\n",
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		body := []byte(strings.Join(rapid.SliceOfN(rapid.SampledFrom(pieces), 0, 12).Draw(t, "body"), ""))
+		var source io.Reader = bytes.NewReader(body)
+		if rapid.Bool().Draw(t, "a byte at a time") {
+			source = iotest.OneByteReader(source)
+		}
+		read, err := io.ReadAll(verifier.NewReader(source, accept))
+		assert.Assert(t, bytes.HasPrefix(body, read))
+		if verifier.FindHead(body, accept) {
+			assert.Assert(t, errors.Is(err, verifier.ErrSeveralMessages))
+			assert.Assert(t, bytes.HasPrefix(body[len(read):], []byte("HTTP/1.")))
+		} else {
+			assert.NilError(t, err)
+			assert.Equal(t, len(read), len(body))
+		}
+	})
+}
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -80,11 +80,16 @@
 // connection ends the body, that is one that names any request. If the body has a length or chunks, which
 // a broken-off answer has too, it is one that names this request.
 func (r *relayedRequest) hasNextAnswer(response *http.Response, body []byte) bool {
-	return verifier.FindHead(body, func(next *http.Response) bool {
+	return verifier.FindHead(body, r.isNextAnswer(response))
+}
+
+// isNextAnswer returns the function that hasNextAnswer decides by.
+func (r *relayedRequest) isNextAnswer(response *http.Response) func(next *http.Response) bool {
+	return func(next *http.Response) bool {
 		id := r.relayer.codec.ParseResponse(next.StatusCode, next.Header).RequestID
 
 		return id != "" && (id == r.metadata.ID || endsWithConnection(response))
-	})
+	}
 }
 
 // acceptAnswer reports whether the answer is the final one. A 5xx status of a request
@@ -118,13 +123,13 @@
 	return false
 }
 
-// forwardLarge forwards an answer that is too large to buffer. If it is truncated, the
-// caller's connection is closed.
+// forwardLarge forwards an answer that is too large to buffer. If it is truncated or goes on with
+// another answer, the caller's connection is closed.
 func (r *relayedRequest) forwardLarge(a *attempt, buffered []byte) {
 	r.writeAnswerHeader(a.response, a.response.ContentLength)
 	a.answered = true
 	a.result = placer.Finished
-	_, err := io.Copy(r.w, io.MultiReader(bytes.NewReader(buffered), a.response.Body))
+	_, err := io.Copy(r.w, verifier.NewReader(io.MultiReader(bytes.NewReader(buffered), a.response.Body), r.isNextAnswer(a.response)))
 	if err != nil {
 		a.result = placer.Failed
 		a.connection.Close()
--- a/internal/relayer/without_length_test.go
+++ b/internal/relayer/without_length_test.go
@@ -135,3 +135,19 @@
 		assert.Equal(t, len(received), len(body))
 	})
 }
+
+// Guards against an answer without a length that is too large to keep, and goes on with another request's
+// answer.
+func TestNextAnswerIsNotPartOfALargeAnswer(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+			if request := h.readRawRequest(reader); request != nil {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n%s%s", strings.Repeat("x", 1200<<10), nextAnswer)
+				_ = conn.Close()
+			}
+		})
+		_, body, err := h.send(h.newRequest(http.MethodPost, "/once/x", ""))
+		assert.Assert(t, err != nil, "the answer looks complete")
+		assert.Assert(t, strings.Trim(body, "x") == "", "bytes of the other answer are forwarded")
+	})
+}
