--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -36,46 +36,77 @@
 const maxBufferedBytes = 1 << 20
 
 // forwardBuffered reads an answer that is not a stream of events and forwards it whole.
-// An answer of maxBufferedBytes or more is forwarded by forwardLarge.
+// An answer of maxBufferedBytes or more, or one for which there is no memory, is forwarded by forwardLarge.
 func (r *relayedRequest) forwardBuffered(ctx context.Context, a *attempt) {
-	buffer := bytes.Buffer{}
-	n, err := io.Copy(&buffer, io.LimitReader(a.response.Body, maxBufferedBytes))
-	if err != nil {
-		r.failAttempt(ctx, a, errors.Wrap(err, "answer was truncated"))
-
-		return
-	}
-	if r.hasNextAnswer(a.response, buffer.Bytes()) {
-		r.failAttempt(ctx, a, errors.New("the body contains another answer"))
-
-		return
-	}
-	if n == maxBufferedBytes && promisesNotRun(a.response.StatusCode) && !a.isPeer {
-		r.failAttempt(ctx, a, errors.Errorf("status %d with a body of %d bytes or more", a.response.StatusCode, n))
+	buffer, isWhole, err := r.readAnswer(a.response)
+	switch {
+	case err != nil:
+		err = errors.Wrap(err, "answer was truncated")
+	case r.hasNextAnswer(a.response, buffer):
+		err = errors.New("the body contains another answer")
+	case !isWhole && promisesNotRun(a.response.StatusCode) && !a.isPeer:
+		err = errors.Errorf("status %d with a body of %d bytes or more", a.response.StatusCode, len(buffer))
+	case !isWhole:
+		r.forwardLarge(a, buffer)
 
 		return
 	}
-	if n == maxBufferedBytes {
-		r.forwardLarge(a, buffer.Bytes())
+	if err != nil {
+		r.memory.giveBack(cap(buffer))
+		r.failAttempt(ctx, a, err)
 
 		return
 	}
 	r.releaseConnection(a)
 	a.result = placer.Finished
-	if !r.acceptAnswer(a, buffer.Bytes()) {
+	if !r.acceptAnswer(a, buffer) {
 		a.result = placer.Failed
 		a.failureCause = errors.Errorf("status %d", a.response.StatusCode)
 
 		return
 	}
-	r.writeAnswerHeader(a.response, int64(buffer.Len()))
-	if _, err := r.w.Write(buffer.Bytes()); err != nil {
+	r.writeAnswerHeader(a.response, int64(len(buffer)))
+	if _, err := r.w.Write(buffer); err != nil {
 		r.relayer.logger.Debug("Caller disconnected during the answer.", "request", r.metadata.ID, "error", err)
 	}
 	r.recordServed(a)
 	a.answered = true
 }
 
+// minAnswerBytes is the memory for an answer of unknown length at first.
+const minAnswerBytes = 4 << 10
+
+// readAnswer reads the body of an answer. isWhole is false if there is more of it than maxBufferedBytes or than
+// there is memory for.
+func (r *relayedRequest) readAnswer(response *http.Response) (buffer []byte, isWhole bool, err error) {
+	size := minAnswerBytes
+	if length := response.ContentLength; length >= 0 && length < maxBufferedBytes {
+		size = int(length) + 1 // The end of the body is seen by a read that returns nothing.
+	}
+	for {
+		if !r.memory.try(size - cap(buffer)) {
+			r.relayer.meter.Add("memory.answers-in-parts", 1)
+
+			return buffer, false, nil
+		}
+		buffer = append(make([]byte, 0, size), buffer...)
+		for len(buffer) < cap(buffer) {
+			n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
+			buffer = buffer[:len(buffer)+n]
+			switch {
+			case errors.Is(err, io.EOF):
+				return buffer, true, nil
+			case err != nil:
+				return buffer, false, err
+			}
+		}
+		if size >= maxBufferedBytes {
+			return buffer, false, nil
+		}
+		size = min(2*size, maxBufferedBytes)
+	}
+}
+
 // hasNextAnswer reports whether the head of another answer stands in a body. If only the end of the
 // connection ends the body, that is one that names any request. If the body has a length or chunks, which
 // a broken-off answer has too, it is one that names this request.
@@ -102,11 +133,16 @@
 	}
 	status := a.response.StatusCode
 	if promisesNotRun(status) {
+		r.memory.giveBack(cap(body))
+
 		return false
 	}
 	if status < http.StatusInternalServerError || !r.route.CanRepeat() {
 		return true
 	}
+	if r.endpointFailure != nil {
+		r.memory.giveBack(cap(r.endpointFailure.body))
+	}
 	r.endpointFailure = &endpointFailure{status: status, header: a.response.Header, body: body}
 
 	return false
@@ -123,13 +159,18 @@
 	return false
 }
 
-// forwardLarge forwards an answer that is too large to buffer. If it is truncated or goes on with
-// another answer, the caller's connection is closed.
+// forwardLarge forwards an answer that is too large to buffer, and of which a part was read. If it is
+// truncated or goes on with another answer, the caller's connection is closed.
 func (r *relayedRequest) forwardLarge(a *attempt, buffered []byte) {
 	r.writeAnswerHeader(a.response, a.response.ContentLength)
 	a.answered = true
 	a.result = placer.Finished
-	_, err := io.Copy(r.w, verifier.NewReader(io.MultiReader(bytes.NewReader(buffered), a.response.Body), r.isNextAnswer(a.response)))
+	body := verifier.NewReader(io.MultiReader(bytes.NewReader(buffered), a.response.Body), r.isNextAnswer(a.response))
+	_, err := io.CopyN(r.w, body, int64(len(buffered)))
+	r.memory.giveBack(cap(buffered))
+	if err == nil {
+		_, err = io.Copy(r.w, body)
+	}
 	if err != nil {
 		a.result = placer.Failed
 		a.connection.Close()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -10,14 +10,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/oleanderpick/oleanderpick/internal/connector"
@@ -47,6 +44,7 @@
 	peers              *connector.Connector // connections to other instances
 	reach              *reachChecker
 	crashes            *crashChecker
+	memory             *memory
 	meter              *meter.Meter
 	logger             hclog.Logger
 	random             func() uint64
@@ -63,8 +61,8 @@
 
 	return &Relayer{
 		codec: codec, dispatcher: dispatch, connections: connections, peers: peers, reach: reach,
-		crashes: newCrashChecker(dispatch, connections, reach),
-		meter:   metrics, logger: logger, random: random,
+		crashes: newCrashChecker(dispatch, connections, reach), memory: newMemory(),
+		meter: metrics, logger: logger, random: random,
 	}
 }
 
@@ -74,6 +72,12 @@
 	r.keepAlivesDisabled.Store(true)
 }
 
+// SetMemory sets the memory that the instance has, in bytes. Requests' bodies and the answers that are
+// kept until they are whole take a part of it at most.
+func (r *Relayer) SetMemory(bytes int64) {
+	r.memory.configure(bytes)
+}
+
 // SetStopDeadline sets the time at which the instance exits. Requests with a later deadline
 // are refused.
 func (r *Relayer) SetStopDeadline(deadline time.Time) {
@@ -117,6 +121,7 @@
 	forwarding  ForwardingMetadata
 	requiresKey bool
 	body        []byte
+	memory      *memoryShare
 	receivedAt  time.Time
 	deadline    time.Time
 
@@ -152,10 +157,12 @@
 		w:          w,
 		incoming:   incoming,
 		metadata:   r.codec.ParseRequest(incoming.Header),
+		memory:     r.memory.open(),
 		receivedAt: time.Now(),
 
 		isPassedOn: passedOn.isPassedOn, possibleRuns: passedOn.possibleRuns, mayHaveRun: passedOn.possibleRuns > 0,
 	}
+	defer request.memory.close()
 	if r.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -166,6 +173,7 @@
 	}
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.deadline)
 	defer cancel()
+	defer request.limitWrites()()
 	if err := request.findOrigin(ctx); err != nil {
 		request.refuse(err)
 
@@ -174,6 +182,20 @@
 	request.relay(ctx)
 }
 
+// writeSlack is how long after a request's deadline its caller may still read the answer.
+const writeSlack = time.Second
+
+// limitWrites ends writes to a caller who does not read, which would hold memory for good. The returned
+// function removes the limit, for the next request on the connection.
+func (r *relayedRequest) limitWrites() (remove func()) {
+	controller := http.NewResponseController(r.w)
+	if err := controller.SetWriteDeadline(r.deadline.Add(writeSlack)); err != nil {
+		r.relayer.logger.Warn("The connection does not support a write deadline.", "request", r.metadata.ID, "error", err)
+	}
+
+	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
+}
+
 // admit finds the request's route, workspace and deadline and reads its body. It
 // returns an error if the request must be refused, also if the configuration is older than
 // minConfiguration.
@@ -285,35 +307,6 @@
 	return nil
 }
 
-// readBody reads the whole body into memory, so that it can be sent again. It stops
-// waiting for the caller at the request's deadline.
-func (r *relayedRequest) readBody() *answerer.Error {
-	maxBytes := r.matcher.Limits().MaxBodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	controller := http.NewResponseController(r.w)
-	if err := controller.SetReadDeadline(r.deadline); err != nil {
-		return answerer.Wrap(answerer.KindInternal, "The connection does not support a read deadline.", err)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.incoming.Body, maxBytes))
-	if err == nil {
-		err = controller.SetReadDeadline(time.Time{})
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return answerer.New(answerer.KindTooLarge, "The body is too large.")
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return answerer.Wrap(answerer.KindSlowBody, "The body did not arrive in time.", err)
-	case err != nil:
-		return answerer.Wrap(answerer.KindMalformed, "The body cannot be read.", err)
-	}
-	r.body = body
-
-	return nil
-}
-
 // setDeadline sets the time by which the request must have its final answer, from
 // the timeouts of the caller and the route.
 func (r *relayedRequest) setDeadline() {
--- a/internal/relayrunner/reload.go
+++ b/internal/relayrunner/reload.go
@@ -36,6 +36,7 @@
 	r.gossiper.AddAddresses(settings.SeedAddresses())
 	r.dispatcher.Configure(dispatcherSettings(settings))
 	limitMemory(settings.MemoryLimitMB)
+	r.relayer.SetMemory(memoryBytes(settings))
 	r.stopTimeoutNs.Store(int64(settings.StopTimeout))
 	r.logger.Info("Settings are reloaded.", "seeds", settings.Seeds, "key lease", settings.KeyLeaseDuration.String(),
 		"retry share", settings.RepeatRatio, "retry burst", settings.RepeatBurst, "stop limit", settings.StopTimeout.String(),
@@ -63,6 +64,11 @@
 	return limit - min(sendMargin, limit/sendMarginShare)
 }
 
+// memoryBytes returns the process's memory in bytes; 0 if the settings state none.
+func memoryBytes(settings configurer.RelaySettings) int64 {
+	return int64(settings.MemoryLimitMB) << 20
+}
+
 // limitMemory sets Go's soft memory limit to a fraction of the process's memory, which is
 // given in megabytes; 0 sets no limit.
 func limitMemory(megabytes int) {
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -149,6 +149,7 @@
 	r.endpointConnections = connector.New(connector.DefaultSettings(), host.DialEndpoint)
 	r.peerConnections = connector.New(connector.DefaultSettings(), host.DialEndpoint)
 	r.relayer = relayer.New(platform.Codec, r.dispatcher, r.endpointConnections, r.peerConnections, counters, logger.Named("relayer"), rand.Uint64)
+	r.relayer.SetMemory(memoryBytes(settings))
 	store := storer.New(settings.PlatformURL, &http.Client{Transport: newStoreTransport(host)}).
 		WithTimeout(storeTimeout).WithDialect(platform.Dialect)
 	versionChronicler := chronicler.New(chronicler.Settings{
--- a/pkg/answerer/answer.go
+++ b/pkg/answerer/answer.go
@@ -106,6 +106,7 @@
 	KindLostVersion:       newAnswer("lost-version", statusUnavailable, NotRun, 0),
 	KindUnreachable:       newAnswer("unreachable", statusUnavailable, NotRun, shortRetryDelay),
 	KindSlowBody:          newAnswer("slow-body", statusRequestTimeout, NotRun, 0),
+	KindNoMemory:          newAnswer("no-memory", statusUnavailable, NotRun, shortRetryDelay),
 	KindInternal:          newAnswer("internal", statusInternalError, Unknown, 0),
 }
 
--- a/pkg/answerer/kind.go
+++ b/pkg/answerer/kind.go
@@ -96,6 +96,8 @@
 	KindUnreachable
 	// KindSlowBody is a request whose body did not arrive in time.
 	KindSlowBody
+	// KindNoMemory is a request whose body the instance has no memory for.
+	KindNoMemory
 
 	// kindCount is the number of kinds.
 	kindCount
--- a/review/bench/caller.go
+++ b/review/bench/caller.go
@@ -43,9 +43,7 @@
 	if err := conn.SetDeadline(time.Now().Add(c.deadline + time.Second)); err != nil {
 		return callAnswer{err: err}
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n",
-		c.method, c.target, callerHost, c.id, c.deadline.Milliseconds(), c.key, len(c.body))
-	if _, err := conn.Write(append([]byte(head), c.body...)); err != nil {
+	if _, err := conn.Write(append([]byte(requestHead(c)), c.body...)); err != nil {
 		return callAnswer{err: err}
 	}
 	response, err := http.ReadResponse(reader, nil)
@@ -57,3 +55,9 @@
 
 	return callAnswer{status: response.StatusCode, stamp: response.Header.Get("Server-Stamp"), body: body, isWhole: err == nil, err: err}
 }
+
+// requestHead returns the head of a call's request.
+func requestHead(c call) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n",
+		c.method, c.target, callerHost, c.id, c.deadline.Milliseconds(), c.key, len(c.body))
+}
