chronicler, watcher: Read the registry with the record when a stream is taken up

Callers: a stream that began at the new version of a release went on at the old one (ORDER), after it broke and was taken up at an instance that had been cut off while the new version's servers joined. Cause: if the record of versions cannot be written for 3 s, instances use endpoints that are not in it. Each counts the 3 s by itself: one that was out of step still leaves them out, and knows the old version only, by the record and by its own registry. It took that for the only version. Change: the read of the record for a stream without a pin goes with a listing of the registry, sent after the request came; another version there means that the stream's is not known (503, not run).

--- a/internal/chronicler/chronicler.go
+++ b/internal/chronicler/chronicler.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,13 @@
 	Put(ctx context.Context, kind, name string, spec json.RawMessage, condition storer.Condition) (storer.Object, error)
 }
 
+// Lister reads which versions the registry has.
+type Lister interface {
+	// ListVersions returns the versions of all registered endpoints by service, and the epoch of
+	// the store in which they were read.
+	ListVersions(ctx context.Context) (versions map[string][]string, epoch uint64, err error)
+}
+
 // Settings are the place of the record and the limits of a Chronicler.
 type Settings struct {
 	// Kind is the kind of the record's object.
@@ -59,6 +67,7 @@
 type Chronicler struct {
 	settings Settings
 	store    Store
+	lister   Lister
 	logger   hclog.Logger
 
 	mu        sync.Mutex
@@ -71,11 +80,13 @@
 	sending chan struct{} // holds a value while a read is sent
 }
 
-// read is one read of the record on behalf of all who asked before it was sent.
+// read is one read of the record and the registry on behalf of all who asked before it was sent.
 type read struct {
-	done   chan struct{}
-	object storer.Object
-	err    error
+	done        chan struct{}
+	object      storer.Object
+	listed      map[string][]string // versions in the registry by service
+	listedEpoch uint64
+	err         error
 }
 
 // New returns a chronicler that knows no record.
@@ -83,6 +94,11 @@
 	return &Chronicler{settings: settings, store: store, logger: logger, historian: historian.New(settings.FirstStart), sending: make(chan struct{}, 1)}
 }
 
+// SetLister sets what reads the registry for OnlyVersion. Call SetLister before OnlyVersion.
+func (c *Chronicler) SetLister(lister Lister) {
+	c.lister = lister
+}
+
 // Admit returns the listed endpoints at which streams may begin, since their versions are
 // recorded, and those that are in use: another instance has found their versions recorded. It
 // updates the record if that is due, and waits for the update if endpoints would be left out.
@@ -272,9 +288,10 @@
 	return historian.Record(decoded), nil
 }
 
-// OnlyVersion reads the record, and returns the version at which streams of a service began
-// that have not ended. It returns false if there may be several. The read is sent after the call
-// of OnlyVersion; calls at the same time share one.
+// OnlyVersion reads the record and the registry, and returns the version at which streams of a service
+// began that have not ended. It returns false if there may be several. The registry counts too, since
+// instances use endpoints whose version cannot be recorded for a while. Both reads are sent after the call
+// of OnlyVersion; calls at the same time share them.
 func (c *Chronicler) OnlyVersion(ctx context.Context, service string) (version string, ok bool, err error) {
 	c.mu.Lock()
 	r := c.nextRead
@@ -297,17 +314,30 @@
 		return "", false, err
 	}
 	version, ok = record.OnlyVersion(r.object.Epoch, service)
+	isOther := func(listed string) bool { return listed != version }
+	if r.listedEpoch != r.object.Epoch || slices.ContainsFunc(r.listed[service], isOther) {
+		return "", false, nil
+	}
 
 	return version, ok, nil
 }
 
-// send reads the record for all who wait for r, once the read before it has ended.
+// send reads the record and the registry for all who wait for r, once the read before has ended.
 func (c *Chronicler) send(r *read) {
 	c.sending <- struct{}{}
 	defer func() { <-c.sending }()
 	c.mu.Lock()
 	c.nextRead = nil
 	c.mu.Unlock()
+	listed := make(chan error, 1)
+	go func() {
+		var err error
+		r.listed, r.listedEpoch, err = c.lister.ListVersions(context.Background())
+		listed <- err
+	}()
 	r.object, r.err = c.store.Get(context.Background(), c.settings.Kind, objectName)
+	if err := <-listed; err != nil && r.err == nil {
+		r.err = errors.Wrap(err, "list the registry")
+	}
 	close(r.done)
 }
--- a/internal/chronicler/chronicler_test.go
+++ b/internal/chronicler/chronicler_test.go
@@ -22,6 +22,8 @@
 	object        storer.Object
 	refusesWrites bool
 	reads         int
+	listed        map[string][]string // versions in the registry by service
+	listErr       error
 }
 
 const answerDelay = 4 * time.Millisecond
@@ -54,8 +56,20 @@
 	return s.object, nil
 }
 
+// ListVersions returns the versions of the registry.
+func (s *memoryStore) ListVersions(context.Context) (versions map[string][]string, epoch uint64, err error) {
+	time.Sleep(answerDelay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.listed, 0, s.listErr
+}
+
 func newChronicler(s *memoryStore) *chronicler.Chronicler {
-	return chronicler.New(chronicler.Settings{Kind: "versions", FirstStart: true, LongestStream: func() time.Duration { return time.Minute }}, s, hclog.NewNullLogger())
+	c := chronicler.New(chronicler.Settings{Kind: "versions", FirstStart: true, LongestStream: func() time.Duration { return time.Minute }}, s, hclog.NewNullLogger())
+	c.SetLister(s)
+
+	return c
 }
 
 func listing(versions ...string) (endpoints []registrar.Endpoint) {
@@ -123,3 +137,21 @@
 		assert.Assert(t, s.reads <= 3, "%d reads", s.reads)
 	})
 }
+
+// Guards against a stream that goes on at another version, since the record lacks one that is in use: it
+// could not be written when endpoints of that version joined.
+func TestVersionInTheRegistryIsNotTheOnlyOneWithoutARecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &memoryStore{listed: map[string][]string{"s": {"v1", "v1"}}}
+		c := newChronicler(s)
+		c.Admit(t.Context(), 0, listing("v1"), noneInUse)
+		version, ok, err := c.OnlyVersion(t.Context(), "s")
+		assert.Assert(t, err == nil && ok && version == "v1")
+		s.listed = map[string][]string{"s": {"v1", "v2"}}
+		_, ok, err = c.OnlyVersion(t.Context(), "s")
+		assert.Assert(t, err == nil && !ok)
+		s.listErr = storer.ErrUnavailable
+		_, _, err = c.OnlyVersion(t.Context(), "s")
+		assert.ErrorIs(t, err, storer.ErrUnavailable)
+	})
+}
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -157,6 +157,7 @@
 	}, store, logger.Named("chronicler"))
 	r.dispatcher.SetVersionSource(versionChronicler)
 	platformWatcher := watcher.New(readPolicies(settings), store.WithTimeout(readTimeout).WithHedgedReads(hedgeDelay), platform.Decoder, versionChronicler, r.dispatcher, logger.Named("watcher"))
+	versionChronicler.SetLister(platformWatcher)
 	r.counters = counters
 	r.callerConnections = newConnectionTracker(r.callerIdleTimeout)
 	r.callerServer = &http.Server{
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -219,22 +219,30 @@
 	return nil
 }
 
-// readEndpoints reads all pages of the registry and passes the endpoints to the
-// control, with the time at which the first read was sent. It skips registrations
-// that cannot be decoded.
-func (w *Watcher) readEndpoints(ctx context.Context) error {
-	var endpoints []registrar.Endpoint
-	var epoch uint64
-	sentAt := w.control.SinceBoot()
+// ListVersions reads the registry and returns the versions of all endpoints in it by service, with the
+// epoch of the store. Unlike those that are applied, they include versions that are not recorded yet.
+func (w *Watcher) ListVersions(ctx context.Context) (versions map[string][]string, epoch uint64, err error) {
+	endpoints, epoch, err := w.listEndpoints(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	versions = map[string][]string{}
+	for _, endpoint := range endpoints {
+		versions[endpoint.Service] = append(versions[endpoint.Service], endpoint.Version)
+	}
+
+	return versions, epoch, nil
+}
+
+// listEndpoints reads all pages of the registry. It skips registrations that cannot be decoded.
+func (w *Watcher) listEndpoints(ctx context.Context) (endpoints []registrar.Endpoint, epoch uint64, err error) {
 	for after, more := "", true; more; {
 		page, err := w.store.List(ctx, w.decoder.EndpointKind(), after, 0)
 		if err != nil {
-			w.control.RecordFailedListing(sentAt)
-
-			return err
+			return nil, 0, err
 		}
 		if after != "" && page.Epoch != epoch {
-			return errors.Errorf("the store's epoch changed from %d to %d between two pages", epoch, page.Epoch)
+			return nil, 0, errors.Errorf("the store's epoch changed from %d to %d between two pages", epoch, page.Epoch)
 		}
 		epoch = page.Epoch
 		for _, item := range page.Items {
@@ -248,6 +256,20 @@
 		}
 		more, after = page.HasMore, page.LastName
 	}
+
+	return endpoints, epoch, nil
+}
+
+// readEndpoints reads the registry and passes the endpoints to the control, with the time at which the
+// first read was sent.
+func (w *Watcher) readEndpoints(ctx context.Context) error {
+	sentAt := w.control.SinceBoot()
+	endpoints, epoch, err := w.listEndpoints(ctx)
+	if err != nil {
+		w.control.RecordFailedListing(sentAt)
+
+		return err
+	}
 	// New endpoints may wait for the record of versions, those that leave must not.
 	w.control.ApplyDepartures(sentAt, epoch, endpoints)
 	readAt := w.control.SinceBoot()
