drainer, relayer: Refuse what may outlast a planned stop from its beginning

Callers: requests taken 1.6 to 3 s after SIGTERM whose work takes 6 s were cut without an answer at the end, among them ones that may not be repeated (LOST). Cause: until the balancer has noticed the stop (3 s) any request was taken, whatever its time limit; only after that those that may outlast the stop were refused. Requests that were read before, and waited for an endpoint, were sent at any time. Change: a request whose time limit ends after the stop is taken in the first 3 s only if the last 64 of its route would have ended before it; one that must run once if they would have in four times as long. The same is asked before a request is sent. Others are refused at once (stopping, not run, 100 ms).

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -72,6 +72,11 @@
 
 			return
 		}
+		if err := r.checkStop(); err != nil && !r.mayHaveRun && !r.answerStarted {
+			r.refuse(err) // It was taken before the stop and waited.
+
+			return
+		}
 		if r.shouldPassOn() {
 			switch r.passOn(ctx) {
 			case answered:
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -49,7 +49,8 @@
 	logger             hclog.Logger
 	random             func() uint64
 	keepAlivesDisabled atomic.Bool
-	stopDeadline       atomic.Pointer[time.Time] // time at which the instance exits; nil if unknown
+	stop               atomic.Pointer[plannedStop] // nil if there is none
+	durations          *routeDurations
 	inFlight           atomic.Int64
 }
 
@@ -61,7 +62,7 @@
 
 	return &Relayer{
 		codec: codec, dispatcher: dispatch, connections: connections, peers: peers, reach: reach,
-		crashes: newCrashChecker(dispatch, connections, reach), memory: newMemory(),
+		crashes: newCrashChecker(dispatch, connections, reach), memory: newMemory(), durations: newRouteDurations(),
 		meter: metrics, logger: logger, random: random,
 	}
 }
@@ -78,12 +79,6 @@
 	r.memory.configure(bytes)
 }
 
-// SetStopDeadline sets the time at which the instance exits. Requests with a later deadline
-// are refused.
-func (r *Relayer) SetStopDeadline(deadline time.Time) {
-	r.stopDeadline.Store(&deadline)
-}
-
 // InFlight returns the number of requests that have no complete answer yet.
 func (r *Relayer) InFlight() int64 {
 	return r.inFlight.Load()
@@ -220,8 +215,8 @@
 		return err
 	}
 	r.setDeadline()
-	if stopDeadline := r.relayer.stopDeadline.Load(); stopDeadline != nil && r.deadline.After(*stopDeadline) {
-		return answerer.New(answerer.KindStopping, "The instance is stopping.").WithRetryAfter(reconnectRetryAfter)
+	if err := r.checkStop(); err != nil {
+		return err
 	}
 	if err := r.readBody(); err != nil {
 		return err
--- a/internal/relayrunner/stop.go
+++ b/internal/relayrunner/stop.go
@@ -53,7 +53,10 @@
 
 // drain serves until the instance may exit, as pkg/drainer decides.
 func (r *Runner) drain(startedAt time.Time, timeout time.Duration) {
-	settings := drainer.Settings{BalancerNoticeDelay: balancerNoticeDelay, QuietWindow: quietWindow, StopTimeout: timeout, AcceptMargin: acceptMargin}
+	settings := drainer.Settings{
+		BalancerNoticeDelay: balancerNoticeDelay, QuietWindow: quietWindow, StopTimeout: timeout, AcceptMargin: acceptMargin, AnswerMargin: answerMargin,
+	}
+	r.relayer.BeginStop(startedAt, settings)
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
 	for now := startedAt; ; now = <-ticker.C {
@@ -63,19 +66,12 @@
 		switch action {
 		case drainer.StopAccepting:
 			_ = r.callerListener.Close()
-			r.finishRequests(startedAt.Add(timeout))
+			r.callerConnections.closeAll()
 		case drainer.FinishRequests:
-			r.finishRequests(startedAt.Add(timeout))
+			r.callerConnections.closeAll()
 		case drainer.Exit:
 			return
 		case drainer.Serve:
 		}
 	}
 }
-
-// finishRequests closes idle connections and refuses requests that may not end before the
-// given end of the stop.
-func (r *Runner) finishRequests(end time.Time) {
-	r.relayer.SetStopDeadline(end.Add(-answerMargin))
-	r.callerConnections.closeAll()
-}
--- a/pkg/drainer/drainer.go
+++ b/pkg/drainer/drainer.go
@@ -3,14 +3,16 @@
 // A load balancer notices a stopping instance only after a while, and keeps sending
 // it callers if too few other instances are left. So the instance accepts new
 // connections until it exits. Once the balancer has had time to notice, the instance
-// closes idle connections and refuses requests that may last longer than the stop, so
-// that callers send them elsewhere. It exits when no request is in flight and no
+// closes idle connections, so that callers send their requests elsewhere. It exits when no request is in flight and no
 // connection was opened recently: a connection whose first packets were lost may
 // still be on its way. If callers keep connecting, it stops accepting connections some
 // time before its limit, so that the requests that it has read are answered by then.
 //
-// The decision depends on Settings and Progress only: equal progress gives the same
-// action.
+// A request that may last longer than the stop is refused from the beginning of it, since nothing can be done
+// for it at the end. Time limits say little of how long requests take, so until the balancer has
+// noticed the stop, a request counts by what others of its route took of late.
+//
+// The decisions depend on their arguments only: equal progress gives the same action.
 package drainer
 
 import "time"
@@ -28,6 +30,8 @@
 	StopTimeout time.Duration
 	// AcceptMargin is how long before StopTimeout the instance stops accepting connections.
 	AcceptMargin time.Duration
+	// AnswerMargin is how long before StopTimeout the last answers must be complete.
+	AnswerMargin time.Duration
 }
 
 // Progress is how far a planned stop has come.
@@ -40,6 +44,33 @@
 	SinceLastConnection time.Duration
 }
 
+// Request is what is known of how long a request will take.
+type Request struct {
+	// TimeLeft is the time until its deadline.
+	TimeLeft time.Duration
+	// LongestOfRoute is how long the last requests of its route took at most; zero if that is unknown.
+	LongestOfRoute time.Duration
+	// RunsOnce is true if nobody may send the request again once it has run in vain.
+	RunsOnce bool
+}
+
+// runOnceFactor is by how much a request that must run once may take longer than the last ones of its route.
+const runOnceFactor = 4
+
+// MayRun reports whether a request may begin to run: it will end before the stop does, or is expected to.
+func (s Settings) MayRun(elapsed time.Duration, request Request) bool {
+	left := s.StopTimeout - s.AnswerMargin - elapsed
+	if request.TimeLeft <= left {
+		return true
+	}
+	expected := request.LongestOfRoute
+	if request.RunsOnce {
+		expected *= runOnceFactor
+	}
+
+	return expected > 0 && expected <= left && elapsed < s.BalancerNoticeDelay
+}
+
 // Action is what a stopping instance does.
 type Action int
 
@@ -47,8 +78,7 @@
 const (
 	// Serve continues as before and asks callers to connect to other instances.
 	Serve Action = iota
-	// FinishRequests closes idle connections and accepts only requests that will end
-	// before the stop does.
+	// FinishRequests closes idle connections.
 	FinishRequests
 	// StopAccepting does the same and closes the listener.
 	StopAccepting
--- a/review/bench/caller.go
+++ b/review/bench/caller.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -23,7 +25,9 @@
 	stamp   string
 	body    []byte
 	isWhole bool
-	err     error
+	// isUnread is true if the connection was refused, or closed before the relay can have read the call.
+	isUnread bool
+	err      error
 }
 
 // send sends a call on a new connection to a relay, and reads the answer.
@@ -31,7 +35,7 @@
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return callAnswer{err: err}
+		return callAnswer{err: err, isUnread: true}
 	}
 	defer func() { _ = conn.Close() }()
 
@@ -48,7 +52,7 @@
 	}
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
-		return callAnswer{err: err}
+		return callAnswer{err: err, isUnread: errors.Is(err, syscall.ECONNRESET)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
