relayer: Forward a path that begins with two slashes unchanged

Cause: net/http writes the scheme before an opaque part of a URL that begins with two slashes. Change: such a target is given as a path that is the same when it is encoded again; one that is not is refused (malformed). Other targets go as before.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -114,6 +115,7 @@
 	service     matcher.Service
 	matcher     *matcher.Matcher
 	forwarding  ForwardingMetadata
+	target      *url.URL
 	requiresKey bool
 	body        []byte
 	memory      *memoryShare
@@ -205,7 +207,12 @@
 	if r.matcher.Number() < minConfiguration {
 		return answerer.New(answerer.KindNoConfiguration, "The configuration is older than the peer's.").WithRetryAfter(reconnectRetryAfter)
 	}
-	path, _, _ := strings.Cut(r.requestTarget(), "?")
+	target := r.requestTarget()
+	var isProper bool
+	if r.target, isProper = targetURL(r.incoming.Host, target); !isProper {
+		return answerer.New(answerer.KindMalformed, "The path is not encoded properly.")
+	}
+	path, _, _ := strings.Cut(target, "?")
 	route, ok := r.matcher.Route(r.incoming.Host, path)
 	if !ok {
 		return r.errorIfFresh(answerer.New(answerer.KindNotFound, "No route matches."))
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -126,11 +127,28 @@
 	return r.newRequest(ctx, r.relayer.codec.OutgoingHeader(r.incoming.Header, forwarding))
 }
 
+// targetURL returns the URL with which net/http writes a request target unchanged. It returns false if
+// there is none: net/http takes a target that begins with two slashes for one that begins with a host, unless
+// the path is given decoded, which has to be the same when it is encoded again.
+func targetURL(host, target string) (*url.URL, bool) {
+	if !strings.HasPrefix(target, "//") {
+		return &url.URL{Scheme: "http", Host: host, Opaque: target}, true
+	}
+	rawPath, query, hasQuery := strings.Cut(target, "?")
+	path, err := url.PathUnescape(rawPath)
+	if err != nil {
+		return nil, false
+	}
+	u := &url.URL{Scheme: "http", Host: host, Path: path, RawPath: rawPath, RawQuery: query, ForceQuery: hasQuery}
+
+	return u, u.RequestURI() == target
+}
+
 // newRequest returns a request with the caller's method, path and body.
 func (r *relayedRequest) newRequest(ctx context.Context, header http.Header) *http.Request {
 	request := &http.Request{
 		Method: r.incoming.Method,
-		URL:    &url.URL{Scheme: "http", Host: r.incoming.Host, Opaque: r.requestTarget()},
+		URL:    r.target,
 		Host:   r.incoming.Host,
 		Header: header,
 		Body:   http.NoBody,
