relayer: Count an endpoint that sends its answer as alive

Cause: the limit for endpoints that send nothing ran from the request on, whatever came. Change: each part of an answer starts it again, and it ends when the answer is passed on.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -38,7 +38,7 @@
 // forwardBuffered reads an answer that is not a stream of events and forwards it whole.
 // An answer of maxBufferedBytes or more, or one for which there is no memory, is forwarded by forwardLarge.
 func (r *relayedRequest) forwardBuffered(ctx context.Context, a *attempt) {
-	buffer, isWhole, err := r.readAnswer(a.response)
+	buffer, isWhole, err := r.readAnswer(a)
 	switch {
 	case err != nil:
 		err = errors.Wrap(err, "answer was truncated")
@@ -77,10 +77,10 @@
 const minAnswerBytes = 4 << 10
 
 // readAnswer reads the body of an answer. isWhole is false if there is more of it than maxBufferedBytes or than
-// there is memory for.
-func (r *relayedRequest) readAnswer(response *http.Response) (buffer []byte, isWhole bool, err error) {
+// there is memory for. An endpoint that sends is not stalled.
+func (r *relayedRequest) readAnswer(a *attempt) (buffer []byte, isWhole bool, err error) {
 	size := minAnswerBytes
-	if length := response.ContentLength; length >= 0 && length < maxBufferedBytes {
+	if length := a.response.ContentLength; length >= 0 && length < maxBufferedBytes {
 		size = int(length) + 1 // The end of the body is seen by a read that returns nothing.
 	}
 	for {
@@ -91,8 +91,9 @@
 		}
 		buffer = append(make([]byte, 0, size), buffer...)
 		for len(buffer) < cap(buffer) {
-			n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
+			n, err := a.response.Body.Read(buffer[len(buffer):cap(buffer)])
 			buffer = buffer[:len(buffer)+n]
+			a.stallDetector.extend()
 			switch {
 			case errors.Is(err, io.EOF):
 				return buffer, true, nil
@@ -162,6 +163,7 @@
 // forwardLarge forwards an answer that is too large to buffer, and of which a part was read. If it is
 // truncated or goes on with another answer, the caller's connection is closed.
 func (r *relayedRequest) forwardLarge(a *attempt, buffered []byte) {
+	a.stallDetector.stop() // An answer that has begun cannot come from another endpoint.
 	r.writeAnswerHeader(a.response, a.response.ContentLength)
 	a.answered = true
 	a.result = placer.Finished
--- a/internal/relayer/silence_test.go
+++ b/internal/relayer/silence_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,3 +54,26 @@
 		})
 	}
 }
+
+// Guards against a long answer being cut off, or asked for again, while its endpoint sends.
+func TestAnswerOfAnEndpointThatSendsIsNotCutOff(t *testing.T) {
+	for name, pieces := range map[string]int{"kept": 10, "too large to keep": 40} {
+		t.Run(name, func(t *testing.T) {
+			runWithHarness(t, func(t *testing.T, h *harness) {
+				send := func(w http.ResponseWriter, _ *http.Request) {
+					for range pieces {
+						_, _ = io.WriteString(w, strings.Repeat("x", 50<<10))
+						_ = http.NewResponseController(w).Flush()
+						time.Sleep(50 * time.Millisecond) // Ten are more than 0.6 of the target latency.
+					}
+				}
+				h.serveEndpoints(send, send)
+				response, body, err := h.send(h.newRequest(http.MethodPost, "/often/x", ""))
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+				assert.Equal(t, len(body), pieces*50<<10)
+				assert.Equal(t, h.arrivalCount(), 1)
+			})
+		})
+	}
+}
--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// extend starts the timeout again, after a part of an answer that is no stream came from the endpoint.
+func (d *stallDetector) extend() {
+	if d != nil {
+		d.timer.Reset(d.timeout)
+	}
+}
+
 // stop ends the watching of the attempt.
 func (d *stallDetector) stop() {
 	if d != nil {
