placer, relayer: Limit the blocks of a prompt that are looked at

Cause: each message to a peer collected the blocks of the prompts that each engine had prefilled of late, and looked each of up to 24,000 blocks up in a list of those before, under the lock that each request needs. Change: neighbouring blocks of a prompt are combined, so that 64 and the last one are told apart; 256 blocks an engine are reported; they are looked up by their hash. Prompts of up to 65 parts are as before.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -331,7 +331,7 @@
 	if r.service.Engine != nil {
 		r.placementRequest.PromptTokens = max(1, r.metadata.PromptTokens)
 		r.placementRequest.OutputTokens = r.metadata.OutputTokens
-		r.placementRequest.Blocks = r.metadata.PromptBlocks
+		r.placementRequest.Blocks = placer.CombineBlocks(r.metadata.PromptBlocks)
 		r.placementRequest.TargetTimeToFirstToken = r.route.TargetLatency
 		r.placementRequest.CanCopyCache = r.service.Engine.CanCopyCache
 	} else {
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -149,14 +149,16 @@
 	for len(e.recentPrefills) > 0 && (now.Sub(e.recentPrefills[0].at) > prefillReportWindow || len(e.recentPrefills) > maxReportedPrefills) {
 		e.recentPrefills = e.recentPrefills[1:]
 	}
-	var ids []uint64
-	for _, recent := range e.recentPrefills {
-		blocks := recent.blocks
-		if onlyNew {
-			blocks = blocks[len(blocks)-recent.newCount:]
-		}
-		for _, block := range blocks {
-			if !slices.Contains(ids, block.ID) {
+	first, count := len(e.recentPrefills), 0
+	for first > 0 && count+e.recentPrefills[first-1].reportedCount(onlyNew) <= maxReportedBlocks {
+		first--
+		count += e.recentPrefills[first].reportedCount(onlyNew)
+	}
+	ids, known := make([]uint64, 0, count), make(map[uint64]struct{}, count)
+	for _, recent := range e.recentPrefills[first:] {
+		for _, block := range recent.blocks[len(recent.blocks)-recent.reportedCount(onlyNew):] {
+			if _, ok := known[block.ID]; !ok {
+				known[block.ID] = struct{}{}
 				ids = append(ids, block.ID)
 			}
 		}
@@ -165,6 +167,15 @@
 	return ids
 }
 
+// reportedCount returns how many blocks are reported, at the end of the prompt's.
+func (p prefill) reportedCount(onlyNew bool) int {
+	if onlyNew {
+		return p.newCount
+	}
+
+	return len(p.blocks)
+}
+
 // recordHeard records which of the blocks that an engine prefilled for a peer this instance did not
 // know to be cached.
 func (e *endpoint) recordHeard(now time.Time, ids []uint64) {
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // TierCount is the number of tiers that are told apart.
 const TierCount = 10
@@ -13,6 +16,30 @@
 	Tokens int
 }
 
+// CombineBlocks returns a prompt's blocks with neighbours combined, so that there are no more than
+// maxPromptBlocks and one. The last block, which belongs to the request only, stays as it is. Prompts that begin
+// with the same blocks have the same combined blocks there, or every second one of them.
+func CombineBlocks(blocks []PromptBlock) []PromptBlock {
+	shared := len(blocks) - 1
+	if shared <= maxPromptBlocks {
+		return blocks
+	}
+	size := 1
+	for shared > size*maxPromptBlocks {
+		size *= 2
+	}
+	combined := make([]PromptBlock, 0, maxPromptBlocks+1)
+	for group := range slices.Chunk(blocks[:shared], size) {
+		whole := PromptBlock{ID: group[len(group)-1].ID}
+		for _, block := range group {
+			whole.Tokens += block.Tokens
+		}
+		combined = append(combined, whole)
+	}
+
+	return append(combined, blocks[shared])
+}
+
 // Request describes a request that needs an endpoint.
 type Request struct {
 	// ID is the caller's ID of the request, for logs.
--- a/pkg/placer/settings.go
+++ b/pkg/placer/settings.go
@@ -79,6 +79,11 @@
 	// maxReportedPrefills is the number of prefills of one engine that are reported
 	// to peers at once.
 	maxReportedPrefills = 24
+	// maxReportedBlocks is the number of blocks of one engine that are reported, those of the newest
+	// prompts that fit.
+	maxReportedBlocks = 256
+	// maxPromptBlocks is the number of blocks of a prompt that are told apart.
+	maxPromptBlocks = 64
 	// maxHeardBlocks is the number of blocks of one engine that an instance reports to other data
 	// centres for its peers.
 	maxHeardBlocks = 32
