--- a/review/bench/caller.go
+++ b/review/bench/caller.go
@@ -25,6 +25,8 @@
 	stamp   string
 	body    []byte
 	isWhole bool
+	// isLast is true if the answer says that its connection is closed.
+	isLast bool
 	// isUnread is true if the connection was refused, or closed before the relay can have read the call.
 	isUnread bool
 	err      error
@@ -57,7 +59,7 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 
-	return callAnswer{status: response.StatusCode, stamp: response.Header.Get("Server-Stamp"), body: body, isWhole: err == nil, err: err}
+	return callAnswer{status: response.StatusCode, stamp: response.Header.Get("Server-Stamp"), body: body, isWhole: err == nil, isLast: response.Close, err: err}
 }
 
 // requestHead returns the head of a call's request.
--- a/review/bench/fleet.go
+++ b/review/bench/fleet.go
@@ -32,6 +32,7 @@
 	store   *standin.Store
 	address string // of the store
 	relays  []*relay
+	born    int64 // when all servers started, in Unix milliseconds
 
 	mu      sync.Mutex
 	servers map[string]func(seq int) string // registrations by id
@@ -40,8 +41,41 @@
 // relay is one relay process.
 type relay struct {
 	name, ip, front, ready string
-	command                *exec.Cmd
-	exited                 chan struct{}
+	ports                  []string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// signal sends a signal to the process.
+func (r *relay) signal(signal os.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.command.Process.Signal(signal)
+}
+
+// restart stops a relay as planned and starts it again once its process has ended, unless another call
+// has.
+func (f *fleet) restart(ctx context.Context, r *relay) {
+	r.signal(syscall.SIGTERM)
+	r.mu.Lock()
+	exited := r.exited
+	r.mu.Unlock()
+	select {
+	case <-exited:
+	case <-ctx.Done():
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.exited != exited {
+		return
+	}
+	r.exited = make(chan struct{})
+	if err := f.startRelay(ctx, r, r.ports); err != nil {
+		close(r.exited)
+	}
 }
 
 // newFleet starts the store.
@@ -50,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{folder: folder, store: &standin.Store{PageSize: 500}, servers: map[string]func(int) string{}}
+	f := &fleet{folder: folder, store: &standin.Store{PageSize: 500}, servers: map[string]func(int) string{}, born: time.Now().UnixMilli()}
 	listener, err := listen(ctx)
 	if err != nil {
 		return nil, err
@@ -88,10 +122,9 @@
 
 // registerFor registers a server of a service in the store.
 func (f *fleet) registerFor(service, id, address string, slots int) {
-	born := time.Now().UnixMilli()
 	registration := func(seq int) string {
 		return fmt.Sprintf(`{"service":%q,"addr":%q,"zone":"zone-a","version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"seq":%d,"born":%d}`,
-			service, address, slots, seq, born)
+			service, address, slots, seq, f.born)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -134,7 +167,7 @@
 	}
 	for i := range count {
 		ip := fmt.Sprintf("127.0.1.%d", i+1)
-		r := &relay{name: fmt.Sprintf("edge-zone-a-%d", i+1), ip: ip, front: ip + ":" + ports[0], ready: ip + ":" + ports[1], exited: make(chan struct{})}
+		r := &relay{name: fmt.Sprintf("edge-zone-a-%d", i+1), ip: ip, front: ip + ":" + ports[0], ready: ip + ":" + ports[1], ports: ports, exited: make(chan struct{})}
 		if err := f.startRelay(ctx, r, ports); err != nil {
 			return err
 		}
@@ -173,7 +206,7 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(f.folder, r.name+".log"))
+	log, err := os.OpenFile(filepath.Join(f.folder, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -183,9 +216,10 @@
 	if err := r.command.Start(); err != nil {
 		return err
 	}
+	command, exited := r.command, r.exited
 	go func() {
-		_ = r.command.Wait()
-		close(r.exited)
+		_ = command.Wait()
+		close(exited)
 	}()
 
 	return nil
