relayer: Look a key up again when the first byte goes out

Cause: the key was looked up before the body was read, and only the configuration's age after that. Change: right before the first byte the key is looked up in the configuration that is in force; a request whose key it does not have any more, or gives to another workspace, gets 401.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -206,7 +206,7 @@
 	switch {
 	case r.hasCallerLeft():
 		reason = retrier.ReasonCallerLeft
-	case errors.Is(a.failureCause, errStaleConfiguration) && !r.mayHaveRun:
+	case isKeyInvalid(a.failureCause) && !r.mayHaveRun:
 		reason = retrier.ReasonNotRetryable
 	case !r.canGoOn():
 		reason = retrier.ReasonNotResumable
@@ -265,6 +265,8 @@
 	switch {
 	case errors.Is(a.failureCause, errStaleConfiguration) && !r.mayHaveRun:
 		return answerer.KindStoreDown
+	case errors.Is(a.failureCause, errRevokedKey) && !r.mayHaveRun:
+		return answerer.KindUnauthorized
 	case r.mayHaveRun && deadlinePassed:
 		return answerer.KindTimeout
 	case r.mayHaveRun:
@@ -276,6 +278,11 @@
 	}
 }
 
+// isKeyInvalid reports whether an attempt was not sent since the caller's API key may not pass.
+func isKeyInvalid(cause error) bool {
+	return errors.Is(cause, errStaleConfiguration) || errors.Is(cause, errRevokedKey)
+}
+
 // failAttempt records an attempt without an answer to forward and closes its connection.
 func (r *relayedRequest) failAttempt(ctx context.Context, a *attempt, cause error) {
 	a.failureCause = cause
@@ -284,7 +291,7 @@
 	switch {
 	case stalled:
 		a.failureCause = errStalled
-	case errors.Is(cause, errStaleConfiguration):
+	case isKeyInvalid(cause):
 		a.result = placer.Canceled
 	case ctx.Err() != nil && !r.isEndpointSilent(a):
 		a.result = placer.Canceled
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -10,6 +11,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/pkg/matcher"
 )
 
 func TestInvalidRequestIsRefusedByTheInstance(t *testing.T) {
@@ -150,3 +154,25 @@
 		assert.Equal(t, response.StatusCode, http.StatusOK)
 	})
 }
+
+// Guards against a request that runs although its key was revoked while its body arrived.
+func TestKeyThatIsRevokedWhileTheBodyArrivesDoesNotPass(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		h.serveEndpoints(echoRequest)
+		conn, err := h.network.Dial(t.Context(), "tcp", "front:80")
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "POST /once/x HTTP/1.1\r\nHost: front\r\nX-Id: r1\r\nX-Key: key\r\nContent-Length: 8\r\n\r\nbody")
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		configuration := testConfiguration()
+		configuration.Number, configuration.Workspaces[0].APIKeys = 2, []string{"other"}
+		h.dispatcher.ApplyConfiguration(h.bootClock(), matcher.New(configuration), dispatcher.StoredConfiguration{})
+		_, err = io.WriteString(conn, "rest")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusUnauthorized)
+		assert.Equal(t, h.arrivalCount(), 0)
+		assert.NilError(t, conn.Close())
+	})
+}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -22,6 +22,10 @@
 // byte, since the caller's API key may have been revoked.
 var errStaleConfiguration = errors.New("configuration not confirmed")
 
+// errRevokedKey is the cause of an attempt that was stopped before its first byte, since the caller's API key
+// was revoked after the request had been taken.
+var errRevokedKey = errors.New("the API key was revoked since the request was taken")
+
 // errEndpointLeft and errOldRegistry are the causes of attempts that were stopped before their
 // first byte, since the endpoint has left in the meantime or may have.
 var (
@@ -91,9 +95,17 @@
 // checkBeforeSending returns an error if the request must not be sent after all. It is
 // called right before the first byte of the request is written.
 func (r *relayedRequest) checkBeforeSending() error {
-	if r.requiresKey && !r.relayer.dispatcher.IsConfigurationFresh() {
+	if !r.requiresKey {
+		return nil
+	}
+	if !r.relayer.dispatcher.IsConfigurationFresh() {
 		return errStaleConfiguration
 	}
+	if current := r.relayer.dispatcher.Matcher(); current != r.matcher {
+		if workspace, found := current.Workspace(r.metadata.APIKey); !found || workspace.Name != r.forwarding.Workspace {
+			return errRevokedKey
+		}
+	}
 
 	return nil
 }
