--- a/internal/common/verifier/reader.go
+++ b/internal/common/verifier/reader.go
@@ -11,7 +11,7 @@
 // keeps back what may be the beginning of a head until it is clear whether it is one.
 type Reader struct {
 	source  io.Reader
-	accept  func(*http.Response) bool
+	accept  Accept
 	pending []byte // read from the source and not passed on
 	free    int    // bytes of pending that may be passed on
 	heads   int    // heads that were parsed
@@ -23,7 +23,7 @@
 
 // NewReader returns a reader of a body. Its Read returns ErrSeveralMessages in place of the first head
 // that the function accepts. It parses maxHeads heads of at most MaxHeadBytes.
-func NewReader(body io.Reader, accept func(*http.Response) bool) *Reader {
+func NewReader(body io.Reader, accept Accept) *Reader {
 	return &Reader{source: body, accept: accept, pending: make([]byte, 0, readerBytes)}
 }
 
@@ -91,5 +91,5 @@
 	}
 	_ = next.Body.Close()
 
-	return r.accept(next)
+	return r.accept(next.StatusCode, next.Header)
 }
--- a/internal/common/verifier/verifier.go
+++ b/internal/common/verifier/verifier.go
@@ -30,6 +30,9 @@
 // startLine matches the start line of an answer.
 var startLine = regexp.MustCompile(`HTTP/\d\.\d \d\d\d( |$)`)
 
+// Accept reports whether an answer with a status code and header fields counts as another answer.
+type Accept func(status int, header http.Header) bool
+
 // CheckHead returns ErrSeveralMessages if the status line or a field of the response contains the start
 // line of another answer.
 func CheckHead(response *http.Response) error {
@@ -52,7 +55,7 @@
 
 // FindHead returns whether a body contains the head of an answer that the function accepts. It looks at
 // maxHeads heads of at most MaxHeadBytes.
-func FindHead(body []byte, accept func(*http.Response) bool) bool {
+func FindHead(body []byte, accept Accept) bool {
 	for range maxHeads {
 		start := bytes.Index(body, []byte(startLinePrefix))
 		if start < 0 {
@@ -62,7 +65,7 @@
 		next, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body[:min(len(body), MaxHeadBytes)])), nil)
 		if err == nil {
 			_ = next.Body.Close()
-			if accept(next) {
+			if accept(next.StatusCode, next.Header) {
 				return true
 			}
 		}
--- a/internal/common/verifier/verifier_test.go
+++ b/internal/common/verifier/verifier_test.go
@@ -62,7 +62,7 @@
 }
 
 func TestFindHeadPassesOverHeadsThatAreNotAccepted(t *testing.T) {
-	accept := func(response *http.Response) bool { return response.Header.Get("A") == "b" }
+	accept := func(_ int, header http.Header) bool { return header.Get("A") == "b" }
 	const head = "HTTP/1.1 200 OK\r\nA: %s\r\n\r\n"
 	assert.Assert(t, verifier.FindHead([]byte("text"+fmt.Sprintf(head, "c")+fmt.Sprintf(head, "b")), accept))
 	assert.Assert(t, !verifier.FindHead([]byte("HTTP/1.1 text"+fmt.Sprintf(head, "c")), accept))
@@ -71,7 +71,7 @@
 // In whatever pieces a body arrives, a Reader passes on all of it, or what stands before the first
 // head that FindHead finds.
 func TestReaderPassesOnWhatStandsBeforeAnotherAnswer(t *testing.T) {
-	accept := func(response *http.Response) bool { return response.Header.Get("Request-Id") != "" }
+	accept := func(_ int, header http.Header) bool { return header.Get("Request-Id") != "" }
 	pieces := []string{
 		"text", "HTTP/1.", "HTTP/1.1 200 OK", "\r\n", "\n", "Request-Id: r0", "A: b", strings.Repeat("x", verifier.MaxHeadBytes),
 		"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n", "HTTP/1.1 503 Busy\r\nA: b\r\n\r\n",
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -112,15 +112,15 @@
 // connection ends the body, that is one that names any request. If the body has a length or chunks, which
 // a broken-off answer has too, it is one that names this request.
 func (r *relayedRequest) hasNextAnswer(response *http.Response, body []byte) bool {
-	return verifier.FindHead(body, r.isNextAnswer(response))
+	return verifier.FindHead(body, r.isNextAnswer(endsWithConnection(response)))
 }
 
-// isNextAnswer returns the function that hasNextAnswer decides by.
-func (r *relayedRequest) isNextAnswer(response *http.Response) func(next *http.Response) bool {
-	return func(next *http.Response) bool {
-		id := r.relayer.codec.ParseResponse(next.StatusCode, next.Header).RequestID
+// isNextAnswer returns the function that hasNextAnswer decides by. The body may have no length.
+func (r *relayedRequest) isNextAnswer(hasNoLength bool) verifier.Accept {
+	return func(status int, header http.Header) bool {
+		id := r.relayer.codec.ParseResponse(status, header).RequestID
 
-		return id != "" && (id == r.metadata.ID || endsWithConnection(response))
+		return id != "" && (id == r.metadata.ID || hasNoLength)
 	}
 }
 
@@ -167,7 +167,7 @@
 	r.writeAnswerHeader(a.response, a.response.ContentLength)
 	a.answered = true
 	a.result = placer.Finished
-	body := verifier.NewReader(io.MultiReader(bytes.NewReader(buffered), a.response.Body), r.isNextAnswer(a.response))
+	body := verifier.NewReader(io.MultiReader(bytes.NewReader(buffered), a.response.Body), r.isNextAnswer(endsWithConnection(a.response)))
 	_, err := io.CopyN(r.w, body, int64(len(buffered)))
 	r.memory.giveBack(cap(buffered))
 	if err == nil {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -72,9 +72,7 @@
 
 			return
 		}
-		if err := r.checkStop(); err != nil && !r.mayHaveRun && !r.answerStarted {
-			r.refuse(err) // It was taken before the stop and waited.
-
+		if r.refuseIfStopping() {
 			return
 		}
 		if r.shouldPassOn() {
--- a/internal/relayer/stop.go
+++ b/internal/relayer/stop.go
@@ -40,6 +40,20 @@
 	return answerer.New(answerer.KindStopping, "The instance is stopping.").WithRetryAfter(reconnectRetryAfter)
 }
 
+// refuseIfStopping refuses a request that was taken before a planned stop and has not run yet, if it may outlast
+// the stop.
+func (r *relayedRequest) refuseIfStopping() bool {
+	if r.mayHaveRun || r.answerStarted {
+		return false
+	}
+	err := r.checkStop()
+	if err != nil {
+		r.refuse(err)
+	}
+
+	return err != nil
+}
+
 // routeDurations is drainer.Durations for concurrent use.
 type routeDurations struct {
 	mu        sync.Mutex
--- a/review/bench/soak.go
+++ b/review/bench/soak.go
@@ -43,11 +43,11 @@
 	credits := route("credits", "/credit/", "non_idempotent", 1000, 2)
 	f.store.Write("config", "main", configuration(3, credits, callerKey))
 	runs := &runRecord{counts: map[string]int{}}
+	fault := anyFault
+	if !hasTrouble {
+		fault = ledgerFaults["none"]
+	}
 	for i := range refusalServers {
-		fault := anyFault
-		if !hasTrouble {
-			fault = ledgerFaults["none"]
-		}
 		s := &ledgerServer{name: fmt.Sprintf("i-%d", i+1), fault: fault, runs: runs, random: rand.New(rand.NewPCG(seed, uint64(i+2)))} //nolint:gosec // A seeded draw.
 		listener, err := listen(ctx)
 		if err != nil {
@@ -77,6 +77,12 @@
 	}
 	callers.Wait()
 	time.Sleep(lateRunTime)
+
+	return judgeSoak(seed, outcomes, runs, out)
+}
+
+// judgeSoak counts the requests that broke a rule.
+func judgeSoak(seed uint64, outcomes map[string]soakOutcome, runs *runRecord, out *record) (verdict, error) {
 	twice, refused, lost, counts := 0, 0, 0, map[int]int{}
 	for id, outcome := range outcomes {
 		counts[outcome.status]++
