verifier, relayer: Do not believe a refusal that the next answer filled up

Callers: a request that had run was sent to a second endpoint. Cause: a refusal of the request whose body was broken off, by a byte or by all of it, looks whole: the first bytes of the answer behind it fill the body up to its length. Change: a refusal's body must not contain the beginning of a start line, nor end with a part of one. Two cases of TestBytesBeforeAnAnswerDoNotRefuseItsRequest and TestBodyThatIsFilledUpFromTheNextAnswerMayHoldItsStart are new.

--- a/internal/common/verifier/verifier.go
+++ b/internal/common/verifier/verifier.go
@@ -53,6 +53,21 @@
 	return nil
 }
 
+// MayHoldStart reports whether another answer may begin in a body: the body contains the beginning of a start
+// line, or ends with a part of one. The body of an answer that was broken off is filled up from the next answer.
+func MayHoldStart(body []byte) bool {
+	if bytes.Contains(body, []byte(startLinePrefix)) {
+		return true
+	}
+	for n := 1; n < len(startLinePrefix); n++ {
+		if bytes.HasSuffix(body, []byte(startLinePrefix[:n])) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // FindHead returns whether a body contains the head of an answer that the function accepts. It looks at
 // maxHeads heads of at most MaxHeadBytes.
 func FindHead(body []byte, accept Accept) bool {
--- a/internal/common/verifier/verifier_test.go
+++ b/internal/common/verifier/verifier_test.go
@@ -93,3 +93,14 @@
 		}
 	})
 }
+
+// Guards against a refusal whose body was broken off and looks whole, since the next answer fills it up.
+func TestBodyThatIsFilledUpFromTheNextAnswerMayHoldItsStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SampledFrom([]string{"", "no", "{\"error\":\"busy\"}", "a long text that says why\n"}).Draw(t, "body")
+		next := "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 3\r\n\r\nown"
+		cut := rapid.IntRange(0, len(body)).Draw(t, "cut")
+		filled := body[:cut] + (next + next)[:len(body)-cut]
+		assert.Equal(t, verifier.MayHoldStart([]byte(filled)), cut < len(body), "%q", filled)
+	})
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -162,7 +162,7 @@
 func isWholeRefusal(response *http.Response) bool {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
 
-	return err == nil && len(body) < maxRefusalBytes && !verifier.FindHead(body, func(int, http.Header) bool { return true })
+	return err == nil && len(body) < maxRefusalBytes && !verifier.MayHoldStart(body)
 }
 
 // newDetachedContext returns a context for work that continues after the caller
--- a/internal/relayer/refusal_test.go
+++ b/internal/relayer/refusal_test.go
@@ -54,6 +54,8 @@
 		"status line of 421, no reason":       "HTTP/1.1 421 ",
 		"field name, broken off":              "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Lo",
 		"body of the own refusal, broken off": strings.Replace(refusalText(503, "X-Id: r1\r\nX-Not-Run: 1\r\n"), ": 2", ": 60", 1),
+		"body of the own refusal, cut by one": strings.TrimSuffix(refusalText(503, "X-Id: r1\r\nX-Not-Run: 1\r\n"), "o"),
+		"body of the own refusal, cut":        strings.TrimSuffix(refusalText(503, "X-Id: r1\r\nX-Not-Run: 1\r\n"), "no"),
 		"refusal that names no request":       refusalText(503, "X-Not-Run: 1\r\n"),
 		"refusal that names two requests":     refusalText(503, "X-Id: r1\r\nX-Id: r0\r\nX-Not-Run: 1\r\n"),
 		"success that says it was not run":    refusalText(200, "X-Id: r1\r\nX-Not-Run: 1\r\n"),
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/throttler"
@@ -142,12 +143,12 @@
 const maxDiscardTime = 100 * time.Millisecond
 
 // discardResponse reads the body of an answer that is not forwarded. It returns false if the body is not
-// whole, is too long, or contains another answer to the request; the connection is closed then.
+// whole, is too long, or may hold the beginning of another answer; the connection is closed then.
 func (r *relayedRequest) discardResponse(a *attempt) bool {
 	timer := time.AfterFunc(maxDiscardTime, a.connection.Close)
 	defer timer.Stop()
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxDiscardedBytes))
-	if err != nil || len(body) == maxDiscardedBytes || r.hasNextAnswer(a.response, body) {
+	if err != nil || len(body) == maxDiscardedBytes || verifier.MayHoldStart(body) {
 		a.connection.Close()
 
 		return false
