review: Give fleets that run at the same time addresses of their own

Seen: one of five runs of review/7 could not run, "edge-zone-a-1 is not ready in time", beside others of the scripts.

--- a/review/bench/fleet.go
+++ b/review/bench/fleet.go
@@ -23,6 +23,8 @@
 	portsPerRelay     = 4
 	relayCount        = 2
 	plainSlots        = 6
+	// maxLogTail is how many bytes of a relay's log are shown if it does not start.
+	maxLogTail = 2000
 )
 
 // fleet is a small deployment on loopback addresses: the stand-in of the platform's store and
@@ -151,6 +153,14 @@
 	return listener.Addr().String(), nil
 }
 
+// relayAddress returns the IP address of a relay. Fleets that run at the same time have different ones, as
+// they choose their ports before they use them.
+func relayAddress(n int) string {
+	const subnets = 250
+
+	return fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%subnets, n+1)
+}
+
 // startRelays starts relay processes and waits until each is ready.
 func (f *fleet) startRelays(ctx context.Context, count int) error {
 	ports := make([]string, 0, portsPerRelay)
@@ -166,7 +176,7 @@
 		ports = append(ports, port)
 	}
 	for i := range count {
-		ip := fmt.Sprintf("127.0.1.%d", i+1)
+		ip := relayAddress(i)
 		r := &relay{name: fmt.Sprintf("edge-zone-a-%d", i+1), ip: ip, front: ip + ":" + ports[0], ready: ip + ":" + ports[1], ports: ports, exited: make(chan struct{})}
 		if err := f.startRelay(ctx, r, ports); err != nil {
 			return err
@@ -175,7 +185,9 @@
 	}
 	for _, r := range f.relays {
 		if err := r.awaitReady(ctx); err != nil {
-			return err
+			log, _ := os.ReadFile(filepath.Join(f.folder, r.name+".log"))
+
+			return fmt.Errorf("%w; its log ends with: %s", err, log[max(0, len(log)-maxLogTail):])
 		}
 	}
 
@@ -202,7 +214,7 @@
 OLEANDERPICK_FIRST_START=true
 OLEANDERPICK_CHANGE_LIMIT=2000ms
 OLEANDERPICK_DRAIN_LIMIT=2000ms
-`, r.name, f.address, r.front, r.ready, r.ip+":"+ports[2], ports[3], "127.0.1.1:"+ports[2])
+`, r.name, f.address, r.front, r.ready, r.ip+":"+ports[2], ports[3], relayAddress(0)+":"+ports[2])
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return err
 	}
