chronicler: Read the registry only if the record has one version

Callers: while a release is under way on slow links, more streams that were taken up were told to come back. Change: the registry is read after the record, and only if that has one version; reads are still shared.

--- a/internal/chronicler/chronicler.go
+++ b/internal/chronicler/chronicler.go
@@ -75,23 +75,28 @@
 	written   storer.Object // as read or written last; Version 0 if there is none
 	updating  chan struct{} // closed when the update ends; nil if there is none
 	heldSince time.Time     // when endpoints began to be left out; zero if none are
-	nextRead  *read         // a read that was not sent yet; nil if there is none
 
-	sending chan struct{} // holds a value while a read is sent
+	records  *sharedRead[storer.Object]
+	listings *sharedRead[listing]
 }
 
-// read is one read of the record and the registry on behalf of all who asked before it was sent.
-type read struct {
-	done        chan struct{}
-	object      storer.Object
-	listed      map[string][]string // versions in the registry by service
-	listedEpoch uint64
-	err         error
+// listing is what the registry has: its versions by service, and the epoch of the store.
+type listing struct {
+	versions map[string][]string
+	epoch    uint64
 }
 
 // New returns a chronicler that knows no record.
 func New(settings Settings, store Store, logger hclog.Logger) *Chronicler {
-	return &Chronicler{settings: settings, store: store, logger: logger, historian: historian.New(settings.FirstStart), sending: make(chan struct{}, 1)}
+	c := &Chronicler{settings: settings, store: store, logger: logger, historian: historian.New(settings.FirstStart)}
+	c.records = newSharedRead(func(ctx context.Context) (storer.Object, error) { return c.store.Get(ctx, settings.Kind, objectName) })
+	c.listings = newSharedRead(func(ctx context.Context) (listing, error) {
+		versions, epoch, err := c.lister.ListVersions(ctx)
+
+		return listing{versions, epoch}, err
+	})
+
+	return c
 }
 
 // SetLister sets what reads the registry for OnlyVersion. Call SetLister before OnlyVersion.
@@ -288,56 +293,31 @@
 	return historian.Record(decoded), nil
 }
 
-// OnlyVersion reads the record and the registry, and returns the version at which streams of a service
-// began that have not ended. It returns false if there may be several. The registry counts too, since
-// instances use endpoints whose version cannot be recorded for a while. Both reads are sent after the call
-// of OnlyVersion; calls at the same time share them.
+// OnlyVersion reads the record, and the registry if the record has one version of a service, and returns the
+// version at which streams of the service began that have not ended. It returns false if there may be several.
+// The registry counts too, since instances use endpoints whose version cannot be recorded for a while. The reads
+// are sent after the call of OnlyVersion; calls at the same time share them.
 func (c *Chronicler) OnlyVersion(ctx context.Context, service string) (version string, ok bool, err error) {
-	c.mu.Lock()
-	r := c.nextRead
-	if r == nil {
-		r = &read{done: make(chan struct{})}
-		c.nextRead = r
-		go c.send(r) //nolint:gosec // The read is for all who wait, so that it ends with none of them.
+	object, err := c.records.get(ctx)
+	if err != nil {
+		return "", false, err
 	}
-	c.mu.Unlock()
-	select {
-	case <-r.done:
-	case <-ctx.Done():
-		return "", false, ctx.Err()
+	record, err := decode(object)
+	if err != nil {
+		return "", false, err
 	}
-	if r.err != nil {
-		return "", false, r.err
+	version, ok = record.OnlyVersion(object.Epoch, service)
+	if !ok {
+		return "", false, nil
 	}
-	record, err := decode(r.object)
+	listed, err := c.listings.get(ctx)
 	if err != nil {
 		return "", false, err
 	}
-	version, ok = record.OnlyVersion(r.object.Epoch, service)
 	isOther := func(listed string) bool { return listed != version }
-	if r.listedEpoch != r.object.Epoch || slices.ContainsFunc(r.listed[service], isOther) {
+	if listed.epoch != object.Epoch || slices.ContainsFunc(listed.versions[service], isOther) {
 		return "", false, nil
 	}
 
-	return version, ok, nil
-}
-
-// send reads the record and the registry for all who wait for r, once the read before has ended.
-func (c *Chronicler) send(r *read) {
-	c.sending <- struct{}{}
-	defer func() { <-c.sending }()
-	c.mu.Lock()
-	c.nextRead = nil
-	c.mu.Unlock()
-	listed := make(chan error, 1)
-	go func() {
-		var err error
-		r.listed, r.listedEpoch, err = c.lister.ListVersions(context.Background())
-		listed <- err
-	}()
-	r.object, r.err = c.store.Get(context.Background(), c.settings.Kind, objectName)
-	if err := <-listed; err != nil && r.err == nil {
-		r.err = errors.Wrap(err, "list the registry")
-	}
-	close(r.done)
+	return version, true, nil
 }
