watcher: Do not count a change of the epoch as a failed read

Callers: after the store came back from a copy amid a listing of several pages, an instance could use an old registry and keep endpoints that were gone. Cause: moved the reading of pages into a function, and every error of it was recorded as a failed read, by which the platform counts as lost. Before, a change of the epoch between two pages was not recorded. Change: it is an error of its own, which is not recorded. Evidence: TestEpochThatChangesBetweenPagesIsNoFailedRead fails without it.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -234,6 +234,9 @@
 	return versions, epoch, nil
 }
 
+// errEpochChanged means that the pages of a listing are not of one store. The store has answered.
+var errEpochChanged = errors.New("the store's epoch changed between two pages")
+
 // listEndpoints reads all pages of the registry. It skips registrations that cannot be decoded.
 func (w *Watcher) listEndpoints(ctx context.Context) (endpoints []registrar.Endpoint, epoch uint64, err error) {
 	for after, more := "", true; more; {
@@ -242,7 +245,7 @@
 			return nil, 0, err
 		}
 		if after != "" && page.Epoch != epoch {
-			return nil, 0, errors.Errorf("the store's epoch changed from %d to %d between two pages", epoch, page.Epoch)
+			return nil, 0, errors.Wrapf(errEpochChanged, "from %d to %d", epoch, page.Epoch)
 		}
 		epoch = page.Epoch
 		for _, item := range page.Items {
@@ -265,9 +268,10 @@
 func (w *Watcher) readEndpoints(ctx context.Context) error {
 	sentAt := w.control.SinceBoot()
 	endpoints, epoch, err := w.listEndpoints(ctx)
-	if err != nil {
+	if err != nil && !errors.Is(err, errEpochChanged) {
 		w.control.RecordFailedListing(sentAt)
-
+	}
+	if err != nil {
 		return err
 	}
 	// New endpoints may wait for the record of versions, those that leave must not.
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -30,6 +30,7 @@
 	epoch       uint64
 	answerDelay time.Duration
 	unavailable bool
+	listedEpoch uint64 // of the registry's second page
 }
 
 // update changes the store while a watcher uses it.
@@ -68,7 +69,7 @@
 		return storer.Page{Items: []storer.Object{{Name: "a"}, {Name: "bad"}}, HasMore: true, LastName: "bad"}, nil
 	}
 
-	return storer.Page{Items: []storer.Object{{Name: "c"}}}, nil
+	return storer.Page{Items: []storer.Object{{Name: "c"}}, Epoch: s.listedEpoch}, nil
 }
 
 type fakeDecoder struct{}
@@ -239,3 +240,42 @@
 		assert.Assert(t, takesRequests(d, "a"), "the registry is as before")
 	})
 }
+
+// failureCounter is a control that counts failed reads of the registry.
+type failureCounter struct {
+	*dispatcher.Dispatcher
+
+	mu       sync.Mutex
+	failures int
+}
+
+func (c *failureCounter) RecordFailedListing(sentAt time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures++
+	c.Dispatcher.RecordFailedListing(sentAt)
+}
+
+// Guards against a store that came back from a copy amid a listing counting as one that cannot be reached: an old
+// registry would be used then, and endpoints that are gone kept.
+func TestEpochThatChangesBetweenPagesIsNoFailedRead(t *testing.T) {
+	for name, test := range map[string]struct {
+		store        *fakeStore
+		wantFailures bool
+	}{
+		"epoch changes": {&fakeStore{listedEpoch: 1}, false}, "unavailable": {&fakeStore{unavailable: true}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				startedAt := time.Now()
+				sinceBoot := func() time.Duration { return time.Since(startedAt) + time.Hour }
+				control := &failureCounter{Dispatcher: dispatcher.New(dispatcher.Settings{}, dispatcher.Clock{Now: time.Now, SinceBoot: sinceBoot}, hclog.NewNullLogger())}
+				w := watcher.New(watcher.ReadPolicies{Configuration: watcher.DefaultReadPolicy(), Endpoints: watcher.DefaultReadPolicy()}, test.store, fakeDecoder{}, recordedVersions{}, control, hclog.NewNullLogger())
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_ = w.Serve(ctx)
+				assert.Equal(t, control.failures > 0, test.wantFailures)
+			})
+		})
+	}
+}
