drainer, relayer: Count requests that did not end in a planned stop's judgement

Callers: a request could be taken in a planned stop and cut off at its end, though others of its route had not ended in time of late. Cause: only answered requests counted among the last 64 of a route. Those that were cut off at their deadline, broke or were left by their callers did not, which are the longest. Change: one of these counts if it lasted longer than all of the last 64; one that ended early says nothing, and a route of which nothing is known stays unknown, so that its requests are refused.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -220,6 +220,7 @@
 	r.recordCompletion(a)
 	duration := time.Since(r.receivedAt)
 	r.relayer.meter.RecordDuration(r.route.Kind.String(), duration)
+	r.isServed = true
 	r.relayer.durations.record(r.route.Name, duration)
 	r.relayer.logger.Info("Answered.", "request", r.metadata.ID, "route", r.route.Name, "endpoint", a.placement.EndpointID,
 		"status", a.response.StatusCode, "endpoint load", a.endpointLoad.String(), "endpoint limit", a.rateLimit.String(), "known running", a.placement.KnownLoad.RunningRequests, "runs", r.possibleRuns+1, "first ms", r.timeToFirstEvent.Milliseconds(), "pause ms", r.longestEventGap.Milliseconds(),
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -138,6 +138,7 @@
 	isPassedOn       bool // a peer sent the request, which reaches no endpoint
 	hasOfferedPeers  bool // no peer took the request
 	isAbandoned      bool // the answer could not be written to the caller
+	isServed         bool // the whole answer of an endpoint was forwarded
 }
 
 // ServeHTTP relays one request to an endpoint and forwards the answer.
@@ -171,6 +172,7 @@
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.deadline)
 	defer cancel()
 	defer request.limitWrites()()
+	defer request.recordUnfinished()
 	if err := request.findOrigin(ctx); err != nil {
 		request.refuse(err)
 
--- a/internal/relayer/stop.go
+++ b/internal/relayer/stop.go
@@ -54,6 +54,14 @@
 	return err != nil
 }
 
+// recordUnfinished counts a request that ends without its answer among those by which a planned stop judges how
+// long others take.
+func (r *relayedRequest) recordUnfinished() {
+	if !r.isServed {
+		r.relayer.durations.recordUnfinished(r.route.Name, time.Since(r.receivedAt))
+	}
+}
+
 // routeDurations is drainer.Durations for concurrent use.
 type routeDurations struct {
 	mu        sync.Mutex
@@ -70,6 +78,12 @@
 	d.durations.Record(route, duration)
 }
 
+func (d *routeDurations) recordUnfinished(route string, duration time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.durations.RecordUnfinished(route, duration)
+}
+
 func (d *routeDurations) longest(route string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/pkg/drainer/drainer_test.go
+++ b/pkg/drainer/drainer_test.go
@@ -94,6 +94,12 @@
 		d.Record("r", 2*time.Second)
 	}
 	assert.Equal(t, d.Longest("r"), 2*time.Second)
+	d.RecordUnfinished("r", time.Second)
+	assert.Equal(t, d.Longest("r"), 2*time.Second, "one that ended early says nothing")
+	d.RecordUnfinished("r", 8*time.Second)
+	assert.Equal(t, d.Longest("r"), 8*time.Second)
+	d.RecordUnfinished("unknown", 8*time.Second)
+	assert.Equal(t, d.Longest("unknown"), time.Duration(0))
 	known := 0
 	for n := range 2000 {
 		d.Record(fmt.Sprint("route ", n), time.Second)
--- a/pkg/drainer/durations.go
+++ b/pkg/drainer/durations.go
@@ -37,6 +37,14 @@
 	d.byRoute[route] = append(durations, duration)
 }
 
+// RecordUnfinished adds a request that ended without its answer after a time. It would have taken longer, so it
+// counts if none of its route's last requests took that long. A route of which nothing is known stays unknown.
+func (d *Durations) RecordUnfinished(route string, duration time.Duration) {
+	if longest := d.Longest(route); longest > 0 && duration > longest {
+		d.Record(route, duration)
+	}
+}
+
 // Longest returns how long the longest of a route's last requests took; zero if there is none.
 func (d *Durations) Longest(route string) time.Duration {
 	if len(d.byRoute[route]) == 0 {
