relayer: Let a test wait until a request is counted

Cause: the test's own. An endpoint's handler may still read the test's variable, and the request may not be counted yet, when its caller has the answer. Change: the test waits for all goroutines before it goes on. The check is as it was.

--- a/internal/relayer/stop_test.go
+++ b/internal/relayer/stop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -58,6 +59,7 @@
 					_, _, err := h.send(h.newRequest(http.MethodPost, "/stream/x", ""))
 					assert.NilError(t, err)
 				}
+				synctest.Wait() // The answer comes before the request is counted.
 				runTime = time.Millisecond
 				h.confirmConfiguration()
 				h.relayer.BeginStop(time.Now().Add(-2*time.Second), stopSettings())
