relayer, connector: Log on which connection an answer came that was not used

The log could not tell whether two answers to a request came on one connection: it had the number of requests that the connection had carried, but not which one it was. Connections have a number now, and `Answer was not used.` states it with the address. Two such lines of a request with the same connection tell a copy of its own refusal from a refusal of another endpoint.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -74,8 +75,9 @@
 
 // Connector is a pool of connections by address. It is safe for concurrent use.
 type Connector struct {
-	settings  Settings
-	transport *http.Transport
+	settings   Settings
+	transport  *http.Transport
+	lastNumber atomic.Uint64 // of a connection
 
 	mu   sync.Mutex
 	idle map[string][]*Connection // by address, the last used one at the end
@@ -130,6 +132,7 @@
 // Connection is a connection to an endpoint. It carries one request at a time.
 type Connection struct {
 	address   string
+	number    uint64
 	client    *http.ClientConn
 	conn      *countingConn
 	expiresAt time.Time
@@ -161,7 +164,7 @@
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
 
-	return &Connection{address: address, client: client, conn: conn, isNew: true}, nil
+	return &Connection{address: address, number: c.lastNumber.Add(1), client: client, conn: conn, isNew: true}, nil
 }
 
 // Probe opens a connection to the address, which shows whether the endpoint accepts any, and
@@ -196,6 +199,11 @@
 	return nil
 }
 
+// Number returns a number that no other connection of the connector has.
+func (c *Connection) Number() uint64 {
+	return c.number
+}
+
 // IsNew reports whether the connection was opened for its current user.
 func (c *Connection) IsNew() bool {
 	return c.isNew
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -234,7 +234,7 @@
 		return
 	}
 	r.relayer.logger.Info("Answer was not used.", "request", r.metadata.ID, "endpoint", a.placement.EndpointID, "status", a.response.StatusCode,
-		"answer to", a.answeredID, "length", a.response.ContentLength, "requests on connection", a.requestNumber, "may have run", a.mayHaveRun, "ms", time.Since(a.sentAt).Milliseconds(), "cause", causeText(a.failureCause))
+		"answer to", a.answeredID, "length", a.response.ContentLength, "address", a.placement.Address, "connection", a.connection.Number(), "requests on connection", a.requestNumber, "may have run", a.mayHaveRun, "ms", time.Since(a.sentAt).Milliseconds(), "cause", causeText(a.failureCause))
 	r.relayer.meter.Add("answers.unused", 1)
 }
 
