connector, relayer: Send a request on no connection that has carried it

Callers saw a request answered 503 though it ran (REFUSED), and requests that must run once ran twice (TWICE). Cause: an endpoint may write a refusal once more where the next answer on the connection is due. If that is the answer to the same request, sent again, the copy has the right ID and is believed. The code avoided that by the registered ID of the endpoint: a repeat at one that was tried opened a connection. Connections are kept by address, though, and the registry can hold two entries of one address while an endpoint that is gone has not expired: the repeat for the other entry went on the connection of the refusal.

The rule is about connections, so they keep it now: a connection whose answer was not the final one excludes the request, by a hash of its ID, and Open skips it. It lasts as long as the connection, so that it holds for requests that peers pass on and for callers who use an ID again, too. A connection that excludes 64 requests is closed, so nothing is forgotten. A repeat at a tried endpoint may now use a connection that has not carried the request, and opens one in fewer cases.

TestConnectionIsNotReusedForARequestThatItExcludes is new.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -5,14 +5,20 @@
 // whether any byte of the request may have been sent. (http.Transport resends some
 // requests on its own.)
 //
+// An endpoint may write an answer once more, where that to the next request on the connection is
+// due. A request that is sent again must not meet the answer to its earlier sending, which has
+// the same ID: connections that carried it are not used for it (Exclude).
+//
 // The number of connections is bounded by the requests in flight plus the idle
 // connections that the user of the package allows for each endpoint.
 package connector
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,8 +26,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 )
 
 // ErrNotSent means that no byte of the request was sent.
@@ -73,11 +77,15 @@
 // responses before it.
 const maxResponseHeaderBytes = 64 << 10
 
+// maxExcludedRequests is the number of requests that are kept off a connection before it is closed.
+const maxExcludedRequests = 64
+
 // Connector is a pool of connections by address. It is safe for concurrent use.
 type Connector struct {
 	settings   Settings
 	transport  *http.Transport
 	lastNumber atomic.Uint64 // of a connection
+	seed       maphash.Seed
 
 	mu   sync.Mutex
 	idle map[string][]*Connection // by address, the last used one at the end
@@ -102,7 +110,7 @@
 
 // New returns a connector without connections, which opens them with the dial function.
 func New(settings Settings, dial DialFunc) *Connector {
-	c := &Connector{settings: settings, idle: map[string][]*Connection{}}
+	c := &Connector{settings: settings, seed: maphash.MakeSeed(), idle: map[string][]*Connection{}}
 	c.transport = &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
@@ -129,23 +137,10 @@
 // the transport dials.
 type dialedConnKey struct{}
 
-// Connection is a connection to an endpoint. It carries one request at a time.
-type Connection struct {
-	address   string
-	number    uint64
-	client    *http.ClientConn
-	conn      *countingConn
-	expiresAt time.Time
-	isReused  bool
-	isNew     bool
-	sent      int // requests
-	// endpointStart is when the endpoint at the other end started; nil if unknown.
-	endpointStart *int64
-}
-
-// Open returns an idle connection to the address or, if there is none, opens one.
-func (c *Connector) Open(ctx context.Context, address string) (*Connection, error) {
-	if idle := c.takeIdle(address); idle != nil {
+// Open returns an idle connection to the address that does not exclude the request or, if there is none, opens
+// one.
+func (c *Connector) Open(ctx context.Context, address, requestID string) (*Connection, error) {
+	if idle := c.takeIdle(address, requestID); idle != nil {
 		idle.isNew = false
 
 		return idle, nil
@@ -164,7 +159,7 @@
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
 
-	return &Connection{address: address, number: c.lastNumber.Add(1), client: client, conn: conn, isNew: true}, nil
+	return &Connection{address: address, number: c.lastNumber.Add(1), seed: c.seed, client: client, conn: conn, isNew: true}, nil
 }
 
 // Probe opens a connection to the address, which shows whether the endpoint accepts any, and
@@ -179,103 +174,38 @@
 	return nil
 }
 
-// takeIdle removes and returns the idle connection to the address that was used last;
-// nil if there is none that can be reused. It closes unusable ones on the way.
-func (c *Connector) takeIdle(address string) *Connection {
+// takeIdle removes and returns the idle connection to the address that was used last of those that do not
+// exclude the request; nil if there is none that can be reused. It closes unusable ones on the way.
+func (c *Connector) takeIdle(address, requestID string) *Connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.idle[address]
-	for len(idle) > 0 {
-		last := idle[len(idle)-1]
-		idle = idle[:len(idle)-1]
+	for i := len(idle) - 1; i >= 0; i-- {
+		conn := idle[i]
+		isUsable := conn.isUsable()
+		if isUsable && conn.excludes(requestID) {
+			continue
+		}
+		idle = slices.Delete(idle, i, i+1)
 		c.idle[address] = idle
-		if time.Now().Before(last.expiresAt) && last.client.Err() == nil && last.client.Available() > 0 {
-			return last
+		if isUsable {
+			return conn
 		}
-		_ = last.client.Close()
-	}
-	delete(c.idle, address)
-
-	return nil
-}
-
-// Number returns a number that no other connection of the connector has.
-func (c *Connection) Number() uint64 {
-	return c.number
-}
-
-// IsNew reports whether the connection was opened for its current user.
-func (c *Connection) IsNew() bool {
-	return c.isNew
-}
-
-// EndpointStart returns the time at which the endpoint at the other end started, in
-// milliseconds since the Unix epoch; false if SetEndpointStart was not called.
-func (c *Connection) EndpointStart() (unixMs int64, known bool) {
-	if c.endpointStart == nil {
-		return 0, false
+		_ = conn.client.Close()
 	}
-
-	return *c.endpointStart, true
-}
-
-// SetEndpointStart sets the time at which the endpoint at the other end started. It does not
-// change while the connection lasts.
-func (c *Connection) SetEndpointStart(unixMs int64) {
-	c.endpointStart = &unixMs
-}
-
-// SentRequests returns the number of requests that were sent on the connection.
-func (c *Connection) SentRequests() int {
-	return c.sent
-}
-
-// IsFirstRequest reports whether the last request that was sent was the first one on the connection.
-// Its answer cannot be that of an earlier one.
-func (c *Connection) IsFirstRequest() bool {
-	return c.sent == 1
-}
-
-// IsReused reports whether the connection has carried a request before.
-func (c *Connection) IsReused() bool {
-	return c.isReused
-}
-
-// Send sends the request and returns the response, whose body is still to be read. It
-// calls beforeFirstByte right before it writes the first byte; an error of that function
-// stops the request. The error wraps ErrNotSent if no byte of the request was sent, and
-// verifier.ErrSeveralMessages if the head of the response is not that of a single answer. On
-// an error the connection is closed.
-func (c *Connection) Send(request *http.Request, beforeFirstByte func() error) (*http.Response, error) {
-	c.sent++
-	writtenBefore := c.conn.writtenBytes.Load()
-	c.conn.callBeforeNextWrite(beforeFirstByte)
-	response, err := c.client.RoundTrip(request)
-	if err == nil {
-		err = verifier.CheckHead(response)
-	}
-	if err == nil {
-		return response, nil
+	if len(idle) == 0 {
+		delete(c.idle, address)
 	}
-	_ = c.client.Close()
-	if c.conn.writtenBytes.Load() == writtenBefore {
-		return nil, &notSentError{cause: errors.Wrapf(err, "send to %s", c.address)}
-	}
-
-	return nil, errors.Wrapf(err, "send to %s", c.address)
-}
 
-// Close closes the connection and cancels a request on it.
-func (c *Connection) Close() {
-	_ = c.client.Close()
+	return nil
 }
 
 // Release keeps the connection for a later request. The response must have been read to
-// its end. The connection is closed instead if the response says so or if maxIdle
-// connections to the address are idle already.
+// its end. The connection is closed instead if the response says so, if it excludes
+// maxExcludedRequests requests, or if maxIdle connections to the address are idle already.
 func (c *Connector) Release(conn *Connection, response *http.Response, maxIdle int) {
 	timeout, reusable := idleTimeout(response, c.settings.DefaultIdleTimeout)
-	if !reusable || conn.client.Err() != nil {
+	if !reusable || conn.client.Err() != nil || len(conn.excluded) >= maxExcludedRequests {
 		conn.Close()
 
 		return
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -46,7 +46,7 @@
 // sendAndRelease sends a request, releases its connection and returns it.
 func sendAndRelease(t *testing.T, c *connector.Connector) *connector.Connection {
 	t.Helper()
-	conn, err := c.Open(t.Context(), "e0:80")
+	conn, err := c.Open(t.Context(), "e0:80", "r1")
 	assert.NilError(t, err)
 	response, err := conn.Send(newRequest(t.Context(), t), allowSend)
 	assert.NilError(t, err)
@@ -96,7 +96,7 @@
 func TestErrorBeforeTheFirstByteIsErrNotSent(t *testing.T) {
 	requestCount := 0
 	runWithConnector(t, func(http.ResponseWriter, *http.Request) { requestCount++ }, func(t *testing.T, c *connector.Connector) {
-		conn, err := c.Open(t.Context(), "e0:80")
+		conn, err := c.Open(t.Context(), "e0:80", "r1")
 		assert.NilError(t, err)
 		errRevoked := errors.New("key revoked")
 		_, err = conn.Send(newRequest(t.Context(), t), func() error { return errRevoked })
@@ -108,7 +108,7 @@
 
 func TestTimeoutAfterSendingIsNotErrNotSent(t *testing.T) {
 	runWithConnector(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, func(t *testing.T, c *connector.Connector) {
-		conn, err := c.Open(t.Context(), "e0:80")
+		conn, err := c.Open(t.Context(), "e0:80", "r1")
 		assert.NilError(t, err)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -119,7 +119,7 @@
 
 func TestDialErrorNamesTheAddress(t *testing.T) {
 	runWithConnector(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, c *connector.Connector) {
-		_, err := c.Open(t.Context(), "gone:80")
+		_, err := c.Open(t.Context(), "gone:80", "r1")
 		assert.Assert(t, err != nil && strings.Contains(err.Error(), "gone:80"))
 		assert.ErrorIs(t, err, piper.ErrRefused)
 	})
@@ -129,7 +129,7 @@
 	runWithConnector(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, c *connector.Connector) {
 		connections, responses := make([]*connector.Connection, 0, 3), make([]*http.Response, 0, 3)
 		for range 3 {
-			conn, err := c.Open(t.Context(), "e0:80")
+			conn, err := c.Open(t.Context(), "e0:80", "r1")
 			assert.NilError(t, err)
 			response, err := conn.Send(newRequest(t.Context(), t), allowSend)
 			assert.NilError(t, err)
@@ -142,7 +142,7 @@
 		}
 		reusedCount := 0
 		for range 3 {
-			conn, err := c.Open(t.Context(), "e0:80")
+			conn, err := c.Open(t.Context(), "e0:80", "r1")
 			assert.NilError(t, err)
 			if conn.IsReused() {
 				reusedCount++
@@ -168,3 +168,33 @@
 	assert.Equal(t, settings.KeepAliveProbeInterval%time.Second, time.Duration(0), "the socket options have whole seconds")
 	assert.Assert(t, 2*settings.KeepAliveProbeInterval < settings.UnacknowledgedTimeout)
 }
+
+// Guards against a request that meets the answer to its earlier sending on a connection that has carried it.
+func TestConnectionIsNotReusedForARequestThatItExcludes(t *testing.T) {
+	runWithConnector(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, c *connector.Connector) {
+		open := func(id string) *connector.Connection {
+			conn, err := c.Open(t.Context(), "e0:80", id)
+			assert.NilError(t, err)
+
+			return conn
+		}
+		release := func(conn *connector.Connection, excluded ...string) {
+			response, err := conn.Send(newRequest(t.Context(), t), allowSend)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			for _, id := range excluded {
+				conn.Exclude(id)
+			}
+			c.Release(conn, response, 8)
+		}
+		older, newer := open("r1"), open("r2")
+		release(older)
+		release(newer, "r1", "r2")
+		assert.Equal(t, open("r1"), older, "the older idle connection, as the newer one excludes the request")
+		assert.Assert(t, open("r2").IsNew(), "both requests are excluded")
+		assert.Equal(t, open("r3"), newer)
+
+		release(newer, make([]string, 63)...)
+		assert.Assert(t, open("r3").IsNew(), "closed, as it excludes too many")
+	})
+}
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -57,9 +57,10 @@
 
 		return
 	}
-	r.releaseConnection(a)
+	isFinal := r.acceptAnswer(a, buffer)
+	r.releaseConnection(a, isFinal)
 	a.result = placer.Finished
-	if !r.acceptAnswer(a, buffer) {
+	if !isFinal {
 		a.result = placer.Failed
 		a.failureCause = errors.Errorf("status %d", a.response.StatusCode)
 
@@ -193,7 +194,7 @@
 		}
 		r.abortCallerConnection(errors.Wrap(err, "large answer was truncated"))
 	}
-	r.releaseConnection(a)
+	r.releaseConnection(a, true)
 	r.recordServed(a)
 }
 
--- a/internal/relayer/peer.go
+++ b/internal/relayer/peer.go
@@ -117,7 +117,7 @@
 // sendToPeer sends the request to a peer and forwards its answer. A request that may run only
 // once is not sent again once a byte may have left.
 func (r *relayedRequest) sendToPeer(ctx context.Context, a *attempt) {
-	connection, err := r.relayer.peers.Open(ctx, a.placement.Address)
+	connection, err := r.relayer.peers.Open(ctx, a.placement.Address, r.metadata.ID)
 	if err != nil {
 		a.failureCause = err
 
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -111,10 +111,14 @@
 // configuration does not state it.
 const defaultMaxConnections = 100
 
-// releaseConnection returns the connection to the connector for reuse. All instances
-// together keep at most half of the connections that the endpoint accepts idle. This
-// instance keeps an equal share of that half.
-func (r *relayedRequest) releaseConnection(a *attempt) {
+// releaseConnection returns the connection to the connector for reuse. After an answer that is not the
+// final one the request may be sent again; the connection is not reused for that, as a copy of this
+// answer would pass for the next one. All instances together keep at most half of the connections that the endpoint
+// accepts idle. This instance keeps an equal share of that half.
+func (r *relayedRequest) releaseConnection(a *attempt, isFinal bool) {
+	if !isFinal {
+		a.connection.Exclude(r.metadata.ID)
+	}
 	if a.isPeer {
 		r.relayer.peers.Release(a.connection, a.response, maxIdlePeerConnections)
 
@@ -153,7 +157,7 @@
 
 		return false
 	}
-	r.releaseConnection(a)
+	r.releaseConnection(a, false)
 
 	return true
 }
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -66,11 +65,7 @@
 // openConnection opens a connection to the chosen endpoint and finds out its version if that
 // is needed.
 func (r *relayedRequest) openConnection(ctx context.Context, a *attempt) (err error) {
-	open := r.relayer.connections.Open
-	if slices.Contains(r.placementRequest.AvoidEndpoints, a.placement.EndpointID) {
-		open = r.relayer.connections.Dial // On the connection of an earlier attempt, its answer may come again.
-	}
-	if a.connection, err = open(ctx, a.placement.Address); err != nil {
+	if a.connection, err = r.relayer.connections.Open(ctx, a.placement.Address, r.metadata.ID); err != nil {
 		return err
 	}
 	if a.connection.IsNew() {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -130,7 +130,7 @@
 	}
 	a.answered = true
 	a.result = placer.Finished
-	r.releaseConnection(a)
+	r.releaseConnection(a, true)
 	r.recordServed(a)
 }
 
