relayer: Answer no success whose body is missing and has no length

An answer without a length or chunks ends with its connection. If an endpoint stops behind the head of such an answer, its body looks whole and empty: callers got 200 with the length 0. A stream without its first event counted as broken off already; other answers did not.

A success without a body whose end only the connection shows is broken off now: 502, or another attempt if the request may run more than once. Answers to HEAD, statuses without a body, lengths of 0 and empty chunks are whole as before.

An answer without a length that ends within its body, or a stream without one that ends behind an event, cannot be told from a whole one.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -96,6 +96,8 @@
 			buffer = buffer[:len(buffer)+n]
 			a.stallDetector.extend()
 			switch {
+			case errors.Is(err, io.EOF) && len(buffer) == 0 && r.mustHaveBody(a.response):
+				return buffer, false, io.ErrUnexpectedEOF
 			case errors.Is(err, io.EOF):
 				return buffer, true, nil
 			case err != nil:
@@ -109,6 +111,12 @@
 	}
 }
 
+// mustHaveBody reports whether an answer without a body was broken off behind its head: a success whose body only
+// the end of the connection ends.
+func (r *relayedRequest) mustHaveBody(response *http.Response) bool {
+	return response.StatusCode/100 == 2 && r.incoming.Method != http.MethodHead && endsWithConnection(response)
+}
+
 // logInParts logs that an answer is forwarded as it arrives, since there is no memory to keep it.
 func (r *relayedRequest) logInParts(a *attempt, keptBytes int) {
 	heldBytes, waiting := r.memory.usage()
