storer: Take no answer without a body for an empty list

A list is split without decoding its elements, and what is empty counts as an empty list there. If the platform's answer ended behind its head and had no length, the call returned no objects and no error: an instance that reads the registry or the instances so takes all of them for gone.

An answer that holds objects and has no body is an error now: unavailable for reads, in doubt for writes.

The new test cuts answers with a length, in chunks and without either at every byte, in both dialects. Before the change it fails for both answers without a length, cut behind the head (empty page, no error); all other cuts were errors already.

--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -298,6 +298,10 @@
 	return newCallError(err, ErrUnavailable)
 }
 
+// errNoBody means that an answer which holds objects has no body. If the answer has no length either, it was
+// broken off behind its head.
+var errNoBody = errors.New("the answer has no body")
+
 // decodeResponse maps the status of a response to the result of a call and decodes the
 // body. An answer that cannot be decoded leaves the result of a write in doubt.
 func (c *Client) decodeResponse(call Call, status int, epoch uint64, body []byte, decode func(uint64, []byte) error) (bool, error) {
@@ -310,7 +314,11 @@
 	if decode == nil {
 		return true, nil
 	}
-	if err := decode(epoch, body); err != nil {
+	err := errNoBody
+	if len(body) > 0 {
+		err = decode(epoch, body)
+	}
+	if err != nil {
 		if call.isWrite() {
 			return false, newCallError(err, ErrWriteInDoubt)
 		}
