--- a/internal/forwarder/stream_attempt.go
+++ b/internal/forwarder/stream_attempt.go
@@ -102,8 +102,8 @@
 func (s *streamAttempt) readEvents(response *http.Response) {
 	defer response.Body.Close()
 	events := sse.NewReader(response.Body)
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		events = sse.NewStrictReader(response.Body) // Only the end of the connection ends the stream.
+	if endsWithConnection(response) {
+		events = sse.NewStrictReader(response.Body)
 	}
 	for {
 		event, err := events.Next()
