relayer: Take no earlier request's answer for an endpoint's report

A stream that may be resumed ran once more than needed. Cause: a report is read on a connection that may have carried requests before, and any 200 with a report's fields counted as one. A late copy of an earlier request's answer was taken for the report; the report itself then came where the stream's answer was due, named no request, and ended the attempt after the endpoint had begun to run it. Change: on a connection that has carried a request, an answer that names a request is no report. The connection is closed and the report is requested on a new one, as after any other wrong report. On a new connection nothing changes. Evidence: TestEarlierAnswerIsNoReport, case "success": 2 runs before, 1 now. The cases "refusal" (1 run) and "report" (a copy of the report in place of the answer: 2 runs, which the route allows) passed before too; none answers 503.

--- a/internal/relayer/version.go
+++ b/internal/relayer/version.go
@@ -225,11 +225,14 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	report, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	answered := r.relayer.codec.ParseResponse(response.StatusCode, response.Header).RequestID
 	switch {
 	case err != nil:
 		return 0, errors.Wrap(err, "read the report")
 	case response.StatusCode != http.StatusOK:
 		return 0, errors.Errorf("report: status %d", response.StatusCode)
+	case answered != "" && !connection.IsFirstRequest():
+		return 0, errors.Errorf("the answer is for request %q", answered)
 	case response.Close || len(report) == maxReportBytes:
 		return 0, errors.New("the connection ends with the report")
 	}
