forwarder: Follow no redirects

A call that must run once ran twice, or was answered 503 though it had run. Cause: net/http follows the redirect in an answer with a request of its own, a GET to the other address. If that one was refused with "X-Started: false", the refusal was believed for the call or model request, which had run. Change: a redirect is an answer like any other, and is forwarded as it is. Evidence: TestRefusalAfterARedirectIsNoProof fails before with 301, 302 and 303 (the plain call counts as not started) and passes with all five statuses now.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -47,22 +47,26 @@
 // New returns a forwarder whose streams use the given settings of the joiner.
 func New(settings joiner.Settings) *Forwarder {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	newTransport := func(keepAlive bool) http.RoundTripper {
-		return verifiedTransport{&http.Transport{
+	newClient := func(keepAlive bool) *http.Client {
+		transport := &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableKeepAlives:   !keepAlive,
 			DisableCompression:  true,
 			ReadBufferSize:      readBufferBytes,
-		}}
-	}
+		}
 
-	return &Forwarder{
-		pooledClient:   &http.Client{Transport: newTransport(true)},
-		unpooledClient: &http.Client{Transport: newTransport(false)},
-		settings:       settings,
+		return &http.Client{Transport: verifiedTransport{transport}, CheckRedirect: useLastResponse}
 	}
+
+	return &Forwarder{pooledClient: newClient(true), unpooledClient: newClient(false), settings: settings}
+}
+
+// useLastResponse makes a redirection the answer. The answer to a further request would say nothing of the
+// first one.
+func useLastResponse(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
 }
 
 // verifiedTransport fails requests whose answers are read from several messages.
--- /dev/null
+++ b/internal/forwarder/own_refusal_test.go
@@ -0,0 +1,83 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderpick/oleanderpick/internal/forwarder"
+	"github.com/oleanderpick/oleanderpick/pkg/joiner"
+)
+
+// serveConns starts an endpoint that answers the requests on each connection, and returns its URL. The text for a
+// request is the answer; empty closes the connection.
+func serveConns(t *testing.T, answer func(r *http.Request, isFirst bool) string) string {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for isFirst := true; ; isFirst = false {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					text := answer(request, isFirst)
+					if _, err := io.WriteString(conn, text); err != nil || text == "" {
+						return
+					}
+				}
+			}()
+		}
+	}()
+
+	return "http://" + listener.Addr().String()
+}
+
+const emptyRefusal = "HTTP/1.1 503 Busy\r\nX-Started: false\r\nContent-Length: 0\r\n\r\n"
+
+// Guards against a call or model request that ran and is reported as not run, or runs twice, since the refusal of
+// another request is believed: the one to the address that its answer redirects to.
+func TestRefusalAfterARedirectIsNoProof(t *testing.T) {
+	for _, status := range []string{"301", "302", "303", "307", "308"} {
+		t.Run(status, func(t *testing.T) {
+			requests := make(chan string, 10)
+			address := serveConns(t, func(r *http.Request, _ bool) string {
+				requests <- r.Method + " " + r.URL.Path
+				switch {
+				case r.URL.Path == "/other":
+					return strings.Replace(emptyRefusal, "\r\n", "\r\nX-Request-Id: own\r\n", 1)
+				case r.Method == http.MethodDelete:
+					return "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+				}
+
+				return "HTTP/1.1 " + status + " Moved\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n"
+			})
+			forward := forwarder.New(joiner.DefaultSettings())
+			defer forward.Close()
+			answer, failure := forward.RunPlainCall(t.Context(), forwarder.PlainCall{Address: address, Method: http.MethodPost, PathAndQuery: "/first", Header: http.Header{}, Body: []byte("x")})
+			assert.Assert(t, failure == nil, "%+v", failure)
+			assert.Equal(t, answer.Header.Get("Location"), "/other")
+			assert.Equal(t, len(requests), 1)
+			chunks := discardedChunks(0)
+			result := forward.RunModelCall(t.Context(), forwarder.ModelCall{Address: address, Path: "/first", StreamID: "own", Body: []byte("x")}, &chunks, func(int) {})
+			assert.Assert(t, result.Failure != nil)
+			assert.Assert(t, !result.Failure.StartStatus.IsNotStarted())
+		})
+	}
+}
