forwarder: Give each call that must run once a connection of its own

A GET or HEAD call that its service does not declare idempotent ran twice. Cause: the method alone decided whether a call went out on a kept connection. net/http sends a GET or HEAD again on its own if the kept connection breaks before the answer. A service may run such a call only once unless it declares it idempotent. Change: the declaration decides. Such a call has a connection of its own, as a POST has, on which net/http sends nothing twice and a refusal is that of the call.

--- a/internal/forwarder/own_refusal_test.go
+++ b/internal/forwarder/own_refusal_test.go
@@ -49,7 +49,10 @@
 	return "http://" + listener.Addr().String()
 }
 
-const emptyRefusal = "HTTP/1.1 503 Busy\r\nX-Started: false\r\nContent-Length: 0\r\n\r\n"
+const (
+	emptyAnswer  = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	emptyRefusal = "HTTP/1.1 503 Busy\r\nX-Started: false\r\nContent-Length: 0\r\n\r\n"
+)
 
 // Guards against a call or model request that ran and is reported as not run, or runs twice, since the refusal of
 // another request is believed: the one to the address that its answer redirects to.
@@ -81,3 +84,35 @@
 		})
 	}
 }
+
+// Guards against a GET that must run once and runs twice, since net/http sends it again when the kept connection
+// breaks, or since an earlier refusal on a kept connection counts for it.
+func TestGetThatMustRunOnceHasAConnectionOfItsOwn(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer         string
+		wantNotStarted bool
+	}{"connection breaks": {"", false}, "refusal": {emptyRefusal, true}} {
+		for _, method := range []string{http.MethodGet, http.MethodHead} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				calls := make(chan bool, 10)
+				address := serveConns(t, func(r *http.Request, isFirst bool) string {
+					if r.URL.Path == "/keep" {
+						return emptyAnswer
+					}
+					calls <- isFirst
+
+					return test.answer
+				})
+				forward := forwarder.New(joiner.DefaultSettings())
+				defer forward.Close()
+				_, failure := forward.RunPlainCall(t.Context(), forwarder.PlainCall{Address: address, Method: method, PathAndQuery: "/keep", Header: http.Header{}})
+				assert.Assert(t, failure == nil)
+				_, failure = forward.RunPlainCall(t.Context(), forwarder.PlainCall{Address: address, Method: method, PathAndQuery: "/once", Header: http.Header{}, MustRunOnce: true})
+				assert.Assert(t, failure != nil)
+				assert.Equal(t, failure.StartStatus.IsNotStarted(), test.wantNotStarted)
+				assert.Equal(t, len(calls), 1)
+				assert.Assert(t, <-calls, "the call has a connection of its own")
+			})
+		}
+	}
+}
--- a/internal/forwarder/plain_call.go
+++ b/internal/forwarder/plain_call.go
@@ -24,6 +24,8 @@
 	Header http.Header
 	// Body is the body of the call.
 	Body []byte
+	// MustRunOnce is true if the call must not run more than once, whatever its method.
+	MustRunOnce bool
 }
 
 // PlainAnswer is the complete answer of a plain service.
@@ -45,13 +47,13 @@
 	request.Header = call.Header.Clone()
 	disableTransportRetry(request)
 
-	response, err := f.plainClient(call.Method).Do(request)
+	response, err := f.plainClient(call).Do(request)
 	if err != nil {
 		return PlainAnswer{}, newPlainFailure(ctx, startStatusFromError(err))
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("X-Started") == "false" {
-		failure := failureFromResponse(response, !mayShareConnection(call.Method), "")
+		failure := failureFromResponse(response, !call.mayShareConnection(), "")
 
 		return PlainAnswer{}, &failure
 	}
@@ -88,15 +90,16 @@
 }
 
 // mayShareConnection reports whether a call may use a connection that others have used. Answers of
-// plain services name no request, so a refusal there may be an earlier one. A call that changes
-// something has a connection of its own, so that a refusal says for sure that it has not run.
-func mayShareConnection(method string) bool {
-	return method == http.MethodGet || method == http.MethodHead
+// plain services name no request, so a refusal there may be an earlier one, and net/http sends a GET or HEAD
+// call again if the connection breaks. A call that changes something or must run once has a connection of its
+// own, so that a refusal says for sure that it has not run.
+func (c PlainCall) mayShareConnection() bool {
+	return !c.MustRunOnce && (c.Method == http.MethodGet || c.Method == http.MethodHead)
 }
 
-// plainClient returns the client for a call with a method.
-func (f *Forwarder) plainClient(method string) *http.Client {
-	if mayShareConnection(method) {
+// plainClient returns the client for a call.
+func (f *Forwarder) plainClient(call PlainCall) *http.Client {
+	if call.mayShareConnection() {
 		return f.pooledClient
 	}
 
--- a/internal/server/plain_call.go
+++ b/internal/server/plain_call.go
@@ -65,7 +65,9 @@
 		return
 	}
 
+	isIdempotent := service.IsIdempotent(r.Method, "/"+r.PathValue("rest"))
 	call := newPlainCall(r, body)
+	call.MustRunOnce = !isIdempotent
 	admission := controller.Request{
 		Service:      service.Name,
 		Class:        caller.class.Name,
@@ -75,7 +77,7 @@
 		Fingerprint:  callFingerprint(caller.workspace.Name, call),
 		Deadline:     caller.deadline,
 	}
-	answer, err := s.runPlainCall(r, admission, call, service.IsIdempotent(r.Method, "/"+r.PathValue("rest")))
+	answer, err := s.runPlainCall(r, admission, call, isIdempotent)
 	if err != nil {
 		s.refuse(w, err)
 
