commander: Give each call of an engine a connection of its own

Cause: answers to orders name no order. On a kept connection, a late copy of the answer to an earlier order was taken for that to the next one: a refused order counted as accepted, and an accepted one as refused, by which the holder of the lease takes itself for superseded. Change: no connection is kept.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -82,6 +82,7 @@
 		return orderer.EngineState{}, errors.Wrap(err, "make request")
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Close = true // On a kept connection, the answer to an earlier call may come again.
 	response, err := c.client.Do(request)
 	if err != nil {
 		return orderer.EngineState{}, errors.Wrap(err, "call engine")
