relayer: Test other ways in which a request may meet an earlier answer to its ID

A caller or a peer that sends a request again with its ID, two requests with one ID at the same time, and a repeat after an earlier failure at the same address: on each gets the copy of the earlier answer on the kept connection (TWICE in 3 of 3 cases, a failure in place of a success in 3 of 3).

--- /dev/null
+++ b/internal/relayer/own_refusal_test.go
@@ -0,0 +1,117 @@
+package relayer_test
+
+import (
+	"bufio"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oleanderpick/oleanderpick/pkg/registrar"
+)
+
+// refusingEndpoint refuses the first requests and runs the others. One whose ID it has refused on the same
+// connection gets a copy of that refusal before its answer.
+type refusingEndpoint struct {
+	refusals, runs int // refusals are those to come
+}
+
+// serve answers the requests on a connection.
+func (e *refusingEndpoint) serve(h *harness) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, reader *bufio.Reader) {
+		refused := map[string]string{} // refusals by ID
+		for request := h.readRawRequest(reader); request != nil; request = h.readRawRequest(reader) {
+			id := request.Header.Get("X-Id")
+			if e.refusals > 0 {
+				e.refusals--
+				refused[id] = refusalText(503, "X-Not-Run: 1\r\nX-Id: "+id+"\r\n")
+				_, _ = io.WriteString(conn, refused[id])
+
+				continue
+			}
+			e.runs++
+			_, _ = io.WriteString(conn, refused[id])
+			time.Sleep(100 * time.Millisecond)
+			writeRawResponse(conn, id, "own")
+		}
+	}
+}
+
+// Guards against a request that runs twice, or that is reported as not run though it ran, since another request
+// with its ID was refused on the same connection, and the copy of that refusal comes where its answer is due.
+func TestRefusalOfARequestWithTheSameIDSaysNothingOfThisOne(t *testing.T) {
+	for name, test := range map[string]struct {
+		passedOn   http.Header
+		refusals   int
+		isParallel bool
+		wantRuns   int
+	}{
+		"sent again by the caller":       {refusals: 1000, wantRuns: 1},
+		"sent at the same time":          {refusals: 1, isParallel: true, wantRuns: 2},
+		"passed on again by an instance": {refusals: 1000, wantRuns: 1, passedOn: http.Header{"Oleanderpick-Runs": {"0"}, "Oleanderpick-Configuration": {"1"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithHarness(t, func(t *testing.T, h *harness) {
+				endpoint, host := &refusingEndpoint{refusals: test.refusals}, "front"
+				h.serveRaw(endpoint.serve(h))
+				if test.passedOn != nil {
+					h.registered, host = []registrar.Endpoint{{ID: "raw", Service: "api", Address: "raw:80", Slots: 6}}, "i1"
+					defer h.startInstance(1).stop()
+				}
+				send := func() int {
+					request := h.newRequest(http.MethodPost, "/once/x", "body")
+					request.URL.Host, request.Host = host, "front"
+					maps.Copy(request.Header, test.passedOn)
+					response, _, err := h.send(request)
+					assert.NilError(t, err)
+
+					return response.StatusCode
+				}
+				first := make(chan int, 1)
+				go func() { first <- send() }()
+				if !test.isParallel {
+					assert.Equal(t, <-first, http.StatusServiceUnavailable)
+					endpoint.refusals = 0
+				}
+				time.Sleep(10 * time.Millisecond)
+				status := send()
+				time.Sleep(time.Second)
+				assert.Equal(t, endpoint.runs, test.wantRuns)
+				assert.Assert(t, status != http.StatusServiceUnavailable)
+			})
+		})
+	}
+}
+
+// Guards against a caller that gets a failure in place of a success, since the failure of the first attempt comes again
+// where the answer to the repeat is due: two registered endpoints have one address, and so one connection.
+func TestEarlierFailureDoesNotAnswerTheRepeat(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusMisdirectedRequest} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			runWithHarness(t, func(t *testing.T, h *harness) {
+				failure, arrivals := refusalText(status, "X-Id: r1\r\n"), 0
+				h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+					for isFirst := true; h.readRawRequest(reader) != nil; isFirst = false {
+						if arrivals++; arrivals == 1 || !isFirst {
+							_, _ = io.WriteString(conn, failure)
+						}
+						if arrivals > 1 {
+							writeRawResponse(conn, "r1", "own")
+						}
+					}
+				})
+				raw := registrar.Endpoint{ID: "raw", Service: "api", Address: "raw:80", Slots: 6}
+				gone := raw
+				gone.ID = "gone"
+				h.dispatcher.ApplyListing(h.bootClock(), 0, []registrar.Endpoint{gone, raw})
+				response, body, err := h.send(h.newRequest(http.MethodPost, "/often/x", ""))
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusOK, body)
+			})
+		})
+	}
+}
