review: Play copies of refusals that come late

Servers write a refusal once more where the next answer on its connection is due. The copy may name the request that is under way there: the registry holds an entry of a server that is gone beside that of the one at its address, so a request gets 421 and is sent again on the same connection.

--- a/review/bench/main.go
+++ b/review/bench/main.go
@@ -35,7 +35,7 @@
 
 // run plays the case of the given name and writes its record to a file.
 func run(arguments []string) int {
-	cases := map[string]caseFunc{"foreign": playForeignAnswer, "path": playDoubleSlash, "long": playLongAnswers, "prompts": playLongPrompts, "refusals": playRefusals, "endless": playEndless, "stop": playStop, "soak": playSoak}
+	cases := map[string]caseFunc{"foreign": playForeignAnswer, "path": playDoubleSlash, "long": playLongAnswers, "prompts": playLongPrompts, "refusals": playRefusals, "copies": playCopies, "endless": playEndless, "stop": playStop, "soak": playSoak}
 	const usage = "usage: review CASE RECORD"
 	if len(arguments) != 2 || cases[arguments[0]] == nil {
 		fmt.Fprintln(os.Stderr, usage)
--- a/review/bench/refusals.go
+++ b/review/bench/refusals.go
@@ -202,7 +202,16 @@
 	time.Sleep(heartbeatInterval) // The relays read the registry.
 	statuses := f.callAll(ctx, name)
 	time.Sleep(lateRunTime)
-	counts := map[int]int{}
+	twice, refused, counts := judgeRuns(statuses, runs, out)
+	summary = fmt.Sprintf("%s seed %d: %d calls, statuses %v, TWICE %d, REFUSED %d", name, seed, refusalCalls, counts, twice, refused)
+	out.printf("%s", summary)
+
+	return twice, refused, summary, nil
+}
+
+// judgeRuns counts the requests that ran twice, those that ran though they were refused, and the statuses.
+func judgeRuns(statuses map[string]int, runs *runRecord, out *record) (twice, refused int, counts map[int]int) {
+	counts = map[int]int{}
 	for id, status := range statuses {
 		counts[status]++
 		ran := runs.count(id)
@@ -216,10 +225,8 @@
 			out.printf("%s: status %d, %d runs", id, status, ran)
 		}
 	}
-	summary = fmt.Sprintf("%s seed %d: %d calls, statuses %v, TWICE %d, REFUSED %d", name, seed, refusalCalls, counts, twice, refused)
-	out.printf("%s", summary)
 
-	return twice, refused, summary, nil
+	return twice, refused, counts
 }
 
 // callAll sends all calls of a fault and returns the status of each; 0 for none.
