relayer: Give a request without an ID a connection of its own

A caller whose request has no ID got another answer as its own (MIXED): neither the request nor an earlier answer on the kept connection, nor an endpoint's report there, names a request, so they passed for the answer. On a new connection no earlier one can stand. Callers of the users' platform send an ID with each request, so this is seen only with others.

TestEarlierAnswerWithoutAnIDIsNotForwarded failed in 2 of 2 cases before and passes.

--- a/internal/relayer/copied_refusal_test.go
+++ b/internal/relayer/copied_refusal_test.go
@@ -58,3 +58,45 @@
 		})
 	}
 }
+
+// Guards against a caller that gets another answer as its own: if neither the request nor the answer has an ID, an
+// earlier answer on the connection passes for that to the request.
+func TestEarlierAnswerWithoutAnIDIsNotForwarded(t *testing.T) {
+	const answer, report = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
+	for name, firstPath := range map[string]string{"answer": "/once/first", "report": "/resume/first"} {
+		t.Run(name, func(t *testing.T) {
+			runWithHarness(t, func(t *testing.T, h *harness) {
+				h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+					earlier := ""
+					for request := h.readRawRequest(reader); request != nil; request = h.readRawRequest(reader) {
+						switch request.URL.Path {
+						case reportPath:
+							earlier = report
+							_, _ = io.WriteString(conn, report)
+						case "/resume/first":
+							writeRawResponse(conn, "r1", "first")
+						case "/once/first":
+							earlier = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+							_, _ = io.WriteString(conn, earlier)
+						default:
+							_, _ = io.WriteString(conn, earlier+answer)
+						}
+					}
+				})
+				h.dispatcher.ApplyListing(h.bootClock(), 0, []registrar.Endpoint{{ID: "raw", Service: "api", Address: "raw:80", Slots: 6, Version: "v1", StartedUnixMs: 1}})
+				first := h.newRequest(http.MethodPost, firstPath, "")
+				if firstPath == "/once/first" {
+					first.Header.Del("X-Id")
+				}
+				_, body, err := h.send(first)
+				assert.NilError(t, err)
+				assert.Equal(t, body, "first")
+				second := h.newRequest(http.MethodPost, "/once/second", "")
+				second.Header.Del("X-Id")
+				response, body, err := h.send(second)
+				assert.NilError(t, err)
+				assert.Assert(t, response.StatusCode != http.StatusOK || body == "own", "%q is forwarded", body)
+			})
+		})
+	}
+}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -65,7 +65,12 @@
 // openConnection opens a connection to the chosen endpoint and finds out its version if that
 // is needed.
 func (r *relayedRequest) openConnection(ctx context.Context, a *attempt) (err error) {
-	if a.connection, err = r.relayer.connections.Open(ctx, a.placement.Address, r.metadata.ID); err != nil {
+	if r.metadata.ID == "" { // An earlier answer that names no request would pass for that to this one.
+		a.connection, err = r.relayer.connections.Dial(ctx, a.placement.Address)
+	} else {
+		a.connection, err = r.relayer.connections.Open(ctx, a.placement.Address, r.metadata.ID)
+	}
+	if err != nil {
 		return err
 	}
 	if a.connection.IsNew() {
