relayer, connector: Do not forward a success that the next answer filled up

Callers got a success whose body ends with the beginning of another answer (MIXED). An endpoint breaks off a body with a length and goes on with the next answer: its first bytes count as the missing ones. A body may hold any text, so the body alone cannot show that, but the rest of the other answer is left behind it.

A connection keeps the last 32 bytes that it received. If a whole body with a length may contain or end with a start line, the relayer waits 10 ms and fails the attempt if the connection received bytes behind it. Other bodies cost nothing, and sound ones that quote an answer are forwarded as before. What comes later than that, behind an answer that closes its connection, or in answers over 1 MiB and streams with a length, is not seen.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -69,6 +69,11 @@
 	c.endpointStart = &unixMs
 }
 
+// EndsWith reports whether nothing was received behind a body that was read whole and has a length.
+func (c *Connection) EndsWith(body []byte) bool {
+	return c.conn.endsWith(body)
+}
+
 // SentRequests returns the number of requests that were sent on the connection.
 func (c *Connection) SentRequests() int {
 	return c.sent
--- a/internal/connector/counting_conn.go
+++ b/internal/connector/counting_conn.go
@@ -1,7 +1,9 @@
 package connector
 
 import (
+	"bytes"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -9,12 +11,41 @@
 	"golang.org/x/sys/unix"
 )
 
-// countingConn counts the bytes that were passed to the operating system for sending.
+// maxTailBytes is how many of the bytes that were received last a countingConn keeps.
+const maxTailBytes = 32
+
+// countingConn counts the bytes that were passed to the operating system for sending, and keeps the
+// last ones that were received.
 type countingConn struct {
 	net.Conn
 
 	writtenBytes atomic.Int64
 	beforeWrite  atomic.Pointer[func() error] // nil: none
+
+	mu   sync.Mutex
+	tail []byte // received last
+}
+
+// Read reads into b.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		c.tail = append(c.tail, b[max(0, n-maxTailBytes):n]...)
+		c.tail = append(c.tail[:0], c.tail[max(0, len(c.tail)-maxTailBytes):]...)
+		c.mu.Unlock()
+	}
+
+	return n, err
+}
+
+// endsWith reports whether the bytes that were received last are the end of a text.
+func (c *countingConn) endsWith(text []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := min(len(text), len(c.tail))
+
+	return bytes.Equal(c.tail[len(c.tail)-n:], text[len(text)-n:])
 }
 
 // callBeforeNextWrite sets a function that is called once before the next write and
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -44,6 +44,8 @@
 		err = errors.Wrap(err, "answer was truncated")
 	case r.hasNextAnswer(a.response, buffer):
 		err = errors.New("the body contains another answer")
+	case isWhole && isFilledUp(a, buffer):
+		err = errors.New("the body was filled up from another answer")
 	case !isWhole && promisesNotRun(a.response.StatusCode) && !a.isPeer:
 		err = errors.Errorf("status %d with a body of %d bytes or more", a.response.StatusCode, len(buffer))
 	case !isWhole:
@@ -132,6 +134,21 @@
 	return verifier.FindHead(body, r.isNextAnswer(endsWithConnection(response)))
 }
 
+// fillUpWait is how long the rest of an answer may take whose beginning may have filled up the body before it.
+const fillUpWait = 10 * time.Millisecond
+
+// isFilledUp reports whether a body that was broken off looks whole, as the beginning of the answer behind it
+// counted as its end: there may be a start line in the body, and bytes come behind it. A body in chunks
+// cannot be filled up, and one without a length has nothing behind it.
+func isFilledUp(a *attempt, body []byte) bool {
+	if a.response.ContentLength <= 0 || !verifier.MayHoldStart(body) {
+		return false
+	}
+	time.Sleep(fillUpWait)
+
+	return !a.connection.EndsWith(body)
+}
+
 // isNextAnswer returns the function that hasNextAnswer decides by. The body may have no length.
 func (r *relayedRequest) isNextAnswer(hasNoLength bool) verifier.Accept {
 	return func(status int, header http.Header) bool {
--- a/internal/relayer/refusal_test.go
+++ b/internal/relayer/refusal_test.go
@@ -97,13 +97,15 @@
 // Guards against a success whose body was broken off and looks whole, since the first bytes of the answer behind
 // it fill it up.
 func TestSuccessThatTheNextAnswerFillsUpIsNotForwarded(t *testing.T) {
-	for name, sent := range map[string]string{"a part of a start line": "whole b", "a part of a head": ""} {
+	for name, test := range map[string]struct{ sent, next string }{
+		"a part of a start line": {"whole b", "r1"}, "a part of a head": {"", "r1"}, "a part of a start line for another request": {"whole bod", "r0"},
+	} {
 		t.Run(name, func(t *testing.T) {
 			runWithHarness(t, func(t *testing.T, h *harness) {
 				h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
 					if request := h.readRawRequest(reader); request != nil {
-						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 10\r\n\r\n%s", sent)
-						writeRawResponse(conn, "r1", "whole body")
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 10\r\n\r\n%s", test.sent)
+						writeRawResponse(conn, test.next, "whole body")
 					}
 				})
 				response, body, err := h.send(h.newRequest(http.MethodPost, "/once/x", ""))
@@ -112,3 +114,22 @@
 		})
 	}
 }
+
+// Guards against a whole body that contains or ends with a part of an answer being taken for one that was filled up.
+func TestBodyThatQuotesAnAnswerIsForwarded(t *testing.T) {
+	for _, quoted := range []string{"H", "HTTP/1.1 200 OK\r\nX-Id: r0\r\n\r\n", strings.Repeat("x", 9000) + "HTTP/1.1 5"} {
+		runWithHarness(t, func(t *testing.T, h *harness) {
+			h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+				for request := h.readRawRequest(reader); request != nil; request = h.readRawRequest(reader) {
+					writeRawResponse(conn, "r1", quoted)
+				}
+			})
+			for range 2 {
+				response, body, err := h.send(h.newRequest(http.MethodPost, "/once/x", ""))
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+				assert.Equal(t, body, quoted)
+			}
+		})
+	}
+}
