connector, relayer: End an attempt whose endpoint switches protocols

A request was held beyond its timeout, its connection stayed open and the caller got status 101, if an endpoint answered 101: net/http hands the connection over then and ends it by neither the context nor Close. No request asks for another protocol, so the attempt fails and the connection is closed.

--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -103,6 +103,10 @@
 	if err == nil {
 		err = verifier.CheckHead(response)
 	}
+	if err == nil && response.StatusCode == http.StatusSwitchingProtocols {
+		err = errSwitched
+		_ = c.conn.Close() // net/http has given the connection up.
+	}
 	if err == nil {
 		return response, nil
 	}
--- a/internal/relayer/version.go
+++ b/internal/relayer/version.go
@@ -188,6 +188,9 @@
 	if a.placement.StartedUnixMs == 0 {
 		return 0, nil
 	}
+	if r.metadata.ID == "" { // A copy of the report would pass for the answer.
+		return 0, errors.New("the request has no ID")
+	}
 	for range maxReportRequests {
 		if started, known := a.connection.EndpointStart(); known {
 			return started, nil
