--- a/internal/forwarder/own_refusal_test.go
+++ b/internal/forwarder/own_refusal_test.go
@@ -116,3 +116,29 @@
 		}
 	}
 }
+
+// Guards against a model request that runs twice, or is reported as not run, since the refusal of its first attempt
+// comes again where the answer to the second is due, on the same connection.
+func TestRefusalOfTheFirstAttemptSaysNothingOfTheSecond(t *testing.T) {
+	connections := make(chan bool, 10)
+	address := serveConns(t, func(r *http.Request, isFirst bool) string {
+		if r.Method == http.MethodDelete {
+			return "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+		}
+		connections <- isFirst
+
+		return strings.Replace(emptyRefusal, "\r\n", "\r\nX-Request-Id: own-1\r\n", 1)
+	})
+	forward := forwarder.New(joiner.DefaultSettings())
+	defer forward.Close()
+	for _, test := range []struct {
+		id             string
+		wantNotStarted bool
+	}{{"own-1", true}, {"own-2", false}} {
+		chunks := discardedChunks(0)
+		result := forward.RunModelCall(t.Context(), forwarder.ModelCall{Address: address, Path: "/", StreamID: test.id, Body: []byte("x")}, &chunks, func(int) {})
+		assert.Assert(t, result.Failure != nil)
+		assert.Equal(t, result.Failure.StartStatus.IsNotStarted(), test.wantNotStarted, test.id)
+	}
+	assert.Assert(t, <-connections && !<-connections, "both are sent on one connection")
+}
