--- a/internal/relayer/own_refusal_test.go
+++ b/internal/relayer/own_refusal_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 // refusingEndpoint refuses the first requests and runs the others. One whose ID it has refused on the same
 // connection gets a copy of that refusal before its answer.
 type refusingEndpoint struct {
-	refusals, runs int // refusals are those to come
+	refusals, runs atomic.Int64 // refusals are those to come
 }
 
 // serve answers the requests on a connection.
@@ -26,14 +27,13 @@
 		refused := map[string]string{} // refusals by ID
 		for request := h.readRawRequest(reader); request != nil; request = h.readRawRequest(reader) {
 			id := request.Header.Get("X-Id")
-			if e.refusals > 0 {
-				e.refusals--
+			if e.refusals.Add(-1) >= 0 {
 				refused[id] = refusalText(503, "X-Not-Run: 1\r\nX-Id: "+id+"\r\n")
 				_, _ = io.WriteString(conn, refused[id])
 
 				continue
 			}
-			e.runs++
+			e.runs.Add(1)
 			_, _ = io.WriteString(conn, refused[id])
 			time.Sleep(100 * time.Millisecond)
 			writeRawResponse(conn, id, "own")
@@ -46,9 +46,9 @@
 func TestRefusalOfARequestWithTheSameIDSaysNothingOfThisOne(t *testing.T) {
 	for name, test := range map[string]struct {
 		passedOn   http.Header
-		refusals   int
+		refusals   int64
 		isParallel bool
-		wantRuns   int
+		wantRuns   int64
 	}{
 		"sent again by the caller":       {refusals: 1000, wantRuns: 1},
 		"sent at the same time":          {refusals: 1, isParallel: true, wantRuns: 2},
@@ -56,7 +56,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runWithHarness(t, func(t *testing.T, h *harness) {
-				endpoint, host := &refusingEndpoint{refusals: test.refusals}, "front"
+				endpoint, host := &refusingEndpoint{}, "front"
+				endpoint.refusals.Store(test.refusals)
 				h.serveRaw(endpoint.serve(h))
 				if test.passedOn != nil {
 					h.registered, host = []registrar.Endpoint{{ID: "raw", Service: "api", Address: "raw:80", Slots: 6}}, "i1"
@@ -75,12 +76,12 @@
 				go func() { first <- send() }()
 				if !test.isParallel {
 					assert.Equal(t, <-first, http.StatusServiceUnavailable)
-					endpoint.refusals = 0
+					endpoint.refusals.Store(0)
 				}
 				time.Sleep(10 * time.Millisecond)
 				status := send()
 				time.Sleep(time.Second)
-				assert.Equal(t, endpoint.runs, test.wantRuns)
+				assert.Equal(t, endpoint.runs.Load(), test.wantRuns)
 				assert.Assert(t, status != http.StatusServiceUnavailable)
 			})
 		})
@@ -93,13 +94,14 @@
 	for _, status := range []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusMisdirectedRequest} {
 		t.Run(http.StatusText(status), func(t *testing.T) {
 			runWithHarness(t, func(t *testing.T, h *harness) {
-				failure, arrivals := refusalText(status, "X-Id: r1\r\n"), 0
+				failure, arrivals := refusalText(status, "X-Id: r1\r\n"), atomic.Int64{}
 				h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
 					for isFirst := true; h.readRawRequest(reader) != nil; isFirst = false {
-						if arrivals++; arrivals == 1 || !isFirst {
+						number := arrivals.Add(1)
+						if number == 1 || !isFirst {
 							_, _ = io.WriteString(conn, failure)
 						}
-						if arrivals > 1 {
+						if number > 1 {
 							writeRawResponse(conn, "r1", "own")
 						}
 					}
--- a/internal/relayer/own_report_test.go
+++ b/internal/relayer/own_report_test.go
@@ -35,8 +35,8 @@
 						id := request.Header.Get("X-Id")
 						switch {
 						case request.URL.Path == reportPath && extra != "":
-							_, _ = io.WriteString(conn, extra)
 							extra, due = "", report
+							_, _ = io.WriteString(conn, test.extra)
 						case request.URL.Path == reportPath:
 							_, _ = io.WriteString(conn, report)
 						case id == "r0":
