relayer: Reset the connection of an HTTP/1.0 caller whose answer is cut off

The end of the connection ends an answer without a length for a caller of HTTP/1.0. A stream or a large answer that broke off after a part of it was forwarded ended with the regular end of the caller's connection, as a whole one does. A caller of HTTP/1.1 sees the missing last chunk.

Such a connection ends with a reset now. In a trial on loopback the caller reads the events and then "connection reset by peer", where it read the end before.

--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -267,9 +267,28 @@
 	r.relayer.meter.CountError(answerer.KindTruncated)
 	r.relayer.logger.Info("Answer was cut off.", "request", r.metadata.ID, "route", r.route.Name,
 		"after event", r.lastEventID, "ms", time.Since(r.receivedAt).Milliseconds(), "cause", causeText(cause))
+	r.resetUnframed()
 	panic(http.ErrAbortHandler)
 }
 
+// resetUnframed resets the connection of a caller that knows no chunks. The regular end of its connection would be
+// the end of an answer without a length.
+func (r *relayedRequest) resetUnframed() {
+	if r.incoming.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := http.NewResponseController(r.w).Hijack()
+	if err != nil {
+		r.relayer.logger.Warn("The caller's connection cannot be reset.", "request", r.metadata.ID, "error", err)
+
+		return
+	}
+	if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // hasCallerLeft reports whether nobody waits for the answer any more: the caller closed its
 // connection or does not read from it. A deadline that has passed is no sign of that.
 func (r *relayedRequest) hasCallerLeft() bool {
