--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -103,9 +103,9 @@
 	if err == nil {
 		err = verifier.CheckHead(response)
 	}
-	if err == nil && response.StatusCode == http.StatusSwitchingProtocols {
-		err = errSwitched
-		_ = c.conn.Close() // net/http has given the connection up.
+	if err == nil && response.StatusCode < http.StatusOK {
+		err = errors.Errorf("status %d is not that of a final answer", response.StatusCode)
+		_ = c.conn.Close() // After status 101 net/http has given the connection up.
 	}
 	if err == nil {
 		return response, nil
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -31,9 +31,6 @@
 // ErrNotSent means that no byte of the request was sent.
 var ErrNotSent = errors.New("request not sent")
 
-// errSwitched means that the endpoint has switched to another protocol, for which no request asks.
-var errSwitched = errors.New("the endpoint switched protocols")
-
 // notSentError is ErrNotSent with its cause.
 type notSentError struct {
 	cause error
--- a/internal/connector/excluded_test.go
+++ b/internal/connector/excluded_test.go
@@ -42,3 +42,34 @@
 		conn.Close()
 	})
 }
+
+// Guards against reuse of the connection that its endpoint will close next: the one that was used last comes first, also
+// behind those that exclude the request.
+func TestLastUsedConnectionIsReusedFirst(t *testing.T) {
+	runWithConnector(t, func(http.ResponseWriter, *http.Request) {}, func(t *testing.T, c *connector.Connector) {
+		connections := make([]*connector.Connection, 4)
+		for i := range connections {
+			conn, err := c.Open(t.Context(), "e0:80", "r")
+			assert.NilError(t, err)
+			connections[i] = conn
+		}
+		for i, conn := range connections {
+			response, err := conn.Send(newRequest(t.Context(), t), allowSend)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			if i == 1 || i == 3 {
+				conn.Exclude("r")
+			}
+			c.Release(conn, response, 8)
+		}
+		for _, want := range []struct {
+			requestID string
+			index     int
+		}{{"r", 2}, {"r", 0}, {"another", 3}, {"another", 1}} {
+			conn, err := c.Open(t.Context(), "e0:80", want.requestID)
+			assert.NilError(t, err)
+			assert.Equal(t, conn, connections[want.index])
+			assert.Equal(t, conn.Number(), connections[0].Number()+uint64(want.index))
+		}
+	})
+}
--- a/internal/relayer/raw_connection_test.go
+++ b/internal/relayer/raw_connection_test.go
@@ -101,6 +101,23 @@
 	})
 }
 
+// Guards against a status that ends no answer being forwarded, or ending the caller's connection without one.
+func TestStatusThatIsNotFinalIsAnswered502(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		runWithHarness(t, func(t *testing.T, h *harness) {
+			h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+				if h.readRawRequest(reader) != nil {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Odd\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nno", status)
+				}
+			})
+			response, _, err := h.send(h.newRequest(http.MethodPost, "/once/x", ""))
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+			assert.Equal(t, h.arrivalCount(), 1)
+		})
+	}
+}
+
 // An endpoint that answers before it has read the whole body would take the next
 // request for the rest of the body, so the connection must not be reused.
 func TestConnectionIsNotReusedAfterAnAnswerBeforeTheWholeBody(t *testing.T) {
--- a/internal/relayer/switched_protocol_test.go
+++ b/internal/relayer/switched_protocol_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -26,7 +27,7 @@
 					if !isEnded {
 						_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
 						_, err := conn.Read(make([]byte, 1))
-						isClosed <- err == io.EOF
+						isClosed <- errors.Is(err, io.EOF)
 					}
 					_ = conn.Close()
 				})
