--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -69,7 +69,7 @@
 	return http.ErrUseLastResponse
 }
 
-// verifiedTransport fails requests whose answers are read from several messages.
+// verifiedTransport fails requests whose answers are read from several messages, or are not final.
 type verifiedTransport struct {
 	*http.Transport
 }
@@ -80,8 +80,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := verifier.CheckHead(response); err != nil {
-		_ = response.Body.Close()
+	err = verifier.CheckHead(response)
+	if err == nil && response.StatusCode < http.StatusOK {
+		err = errors.Errorf("status %d is not that of a final answer", response.StatusCode)
+	}
+	if err != nil {
+		_ = response.Body.Close() // After status 101 it is the connection.
 
 		return nil, err
 	}
