relayer: Stop the limit of a discarded answer before its connection is reused

The limit for the body of a refusal was stopped after the connection had been released. If it ran out in between, it closed a connection that another request may have taken. A body that ends after its limit counts as not whole, as before.

--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -150,9 +150,9 @@
 // whole, is too long, or may hold the beginning of another answer; the connection is closed then.
 func (r *relayedRequest) discardResponse(a *attempt) bool {
 	timer := time.AfterFunc(maxDiscardTime, a.connection.Close)
-	defer timer.Stop()
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxDiscardedBytes))
-	if err != nil || len(body) == maxDiscardedBytes || verifier.MayHoldStart(body) {
+	isInTime := timer.Stop() // Before the connection may carry another request.
+	if !isInTime || err != nil || len(body) == maxDiscardedBytes || verifier.MayHoldStart(body) {
 		a.connection.Close()
 
 		return false
