--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -7,7 +7,7 @@
 //
 // An endpoint may write an answer once more, where that to the next request on the connection is
 // due. A request that is sent again must not meet the answer to its earlier sending, which has
-// the same ID: connections that carried it are not used for it (Exclude).
+// the same ID: a connection whose answer did not end the request is not used for it again (Exclude).
 //
 // The number of connections is bounded by the requests in flight plus the idle
 // connections that the user of the package allows for each endpoint.
--- a/internal/relayer/own_refusal_test.go
+++ b/internal/relayer/own_refusal_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 )
 
@@ -117,3 +118,58 @@
 		})
 	}
 }
+
+// Guards against a request that a peer runs and that is sent elsewhere all the same: the peer did not take it before, on the
+// same connection, and that answer comes again.
+func TestCopyOfAPeersAnswerDoesNotAnswerTheNextSending(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		h.partition = &partition{way: refuse, instances: []string{"i0"}, isActive: true}
+		h.serveVersions(0, "v1", "v1")
+		i := h.startInstance(0)
+		defer i.stop()
+		const notTaken = "HTTP/1.1 503 Busy\r\nOleanderpick-Elsewhere: 1\r\nOleanderpick-Answers: r1\r\nContent-Length: 0\r\n\r\n"
+		var sendings atomic.Int64
+		h.network.ServeConn("peer", func(conn net.Conn) {
+			for reader, earlier := bufio.NewReader(conn), ""; h.readRawRequest(reader) != nil; earlier = notTaken {
+				answer := notTaken
+				if sendings.Add(1) > 1 {
+					answer = earlier + "HTTP/1.1 200 OK\r\nOleanderpick-Elsewhere: 0\r\nOleanderpick-Answers: r1\r\nX-Id: r1\r\nContent-Length: 3\r\n\r\nown"
+				}
+				_, _ = io.WriteString(conn, answer)
+			}
+		})
+		i.dispatcher.SetFleet(dispatcher.Fleet{InstanceCount: 2, PeerReaches: []dispatcher.PeerReach{{Address: "peer:80"}}})
+		for _, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+			request := h.newRequest(http.MethodPost, "/once/x", "")
+			request.URL.Host, request.Host = "front-0", "front"
+			response, body, err := h.send(request)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, want, body)
+		}
+	})
+}
+
+// Guards against connections that are closed after some final answers, as if those requests could be sent again.
+func TestFinalAnswersDoNotWearOutAConnection(t *testing.T) {
+	runWithHarness(t, func(t *testing.T, h *harness) {
+		connections := 0
+		h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
+			connections++
+			for request := h.readRawRequest(reader); request != nil; request = h.readRawRequest(reader) {
+				answer := head(lengthOf10) + wholeBody
+				if request.URL.Path == "/stream/x" {
+					answer = head(eventStream, inChunks) + chunks(eventsText(2), 9) + "0\r\n\r\n"
+				}
+				_, _ = io.WriteString(conn, answer)
+			}
+		})
+		for range 70 {
+			for _, path := range []string{"/stream/x", "/once/x"} {
+				response, _, err := h.send(h.newRequest(http.MethodPost, path, ""))
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+			}
+		}
+		assert.Equal(t, connections, 1)
+	})
+}
