review: Add copies of a request's own refusal to the soak

Its servers now refuse what is for another server, write earlier answers of a connection once more, late, and are replaced by others at the same address; entries of former servers, also of a second service, come and go. Requests that may be repeated and streams go along. MIXED, and 408, 421 and 429 after a run, are judged too. The faults before each answer and the disruptions of relays stay as they were. The record holds what servers saw of a request that broke a rule.

--- a/review/bench/soak.go
+++ b/review/bench/soak.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,34 +28,47 @@
 	disturbancePause = 1500 * time.Millisecond
 )
 
+// soakPrefixes begin the targets of a caller's requests, in turn. Those of soakRepeatable may run more than once.
+var (
+	soakPrefixes   = []string{"/credit/", "/credit/", "/other/", "/credit/", "/read/", "/stream/", "/resumable/"}
+	soakRepeatable = map[string]bool{"/read/": true, "/resumable/": true}
+)
+
 // soakOutcome is what a caller has seen of a request.
 type soakOutcome struct {
-	status   int
-	isClosed bool // the connection ended without a whole answer
+	status    int
+	isClosed  bool   // the connection ended without a whole answer
+	mayRepeat bool   // the request may run more than once
+	wrong     string // what is not as the server answered; empty if all is
 }
 
 // playSoak lets callers send requests that must run once, on kept connections, to faulty servers while
 // relays are stopped as planned and started again, settings are reloaded and configurations change, one after the
-// other and at the same time. SEED sets the seed. A request may run once, one that is refused not at all, and
-// one that ran has an answer.
+// other and at the same time. The servers are soakServers, among which entries of the registry and addresses
+// change. SEED sets the seed. A request may run once, one that is refused not at all, and one that ran has its own
+// whole answer. Requests that may be repeated and streams go along.
 func playSoak(ctx context.Context, f *fleet, out *record, hasTrouble bool) (verdict, error) {
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	random := rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // A seeded draw.
-	credits := route("credits", "/credit/", "non_idempotent", 1000, 2)
-	f.store.Write("config", "main", configuration(3, credits, callerKey))
+	f.store.Write("config", "main", soakConfiguration(3, ""))
 	runs := &runRecord{counts: map[string]int{}}
 	fault := anyFault
 	if !hasTrouble {
 		fault = ledgerFaults["none"]
 	}
-	for i := range refusalServers {
-		s := &ledgerServer{name: fmt.Sprintf("i-%d", i+1), fault: fault, runs: runs, random: rand.New(rand.NewPCG(seed, uint64(i+2)))} //nolint:gosec // A seeded draw.
+	trace := &requestTrace{lines: map[string][]string{}}
+	servers := make([]*soakServer, 0, refusalServers+1)
+	for i := range refusalServers + 1 {
+		s := &soakServer{id: fmt.Sprintf("i-%d", i+1), startedUnixMs: f.startedUnixMs, trace: trace, hasCopies: hasTrouble, conns: map[net.Conn]bool{},
+			ledgerServer: &ledgerServer{fault: fault, runs: runs, random: rand.New(rand.NewPCG(seed, uint64(i+2)))}} //nolint:gosec // A seeded draw.
 		listener, err := listen(ctx)
 		if err != nil {
 			return verdict{}, err
 		}
-		go serveConnections(listener, s.serve)
-		f.register(s.name, listener.Addr().String())
+		go serveConnections(listener, s.serveConnection)
+		s.address = listener.Addr().String()
+		servers = append(servers, s)
+		f.registerFor([]string{service, otherService}[i/refusalServers], s.id, s.address, plainSlots)
 	}
 	if err := f.startRelays(ctx, soakRelays); err != nil {
 		return verdict{}, err
@@ -73,37 +87,71 @@
 		})
 	}
 	if hasTrouble {
-		f.disturb(ctx, endAt, random, credits, out)
+		callers.Go(func() { f.changeServers(ctx, endAt, rand.New(rand.NewPCG(seed, 100)), servers) }) //nolint:gosec // A seeded draw.
+		f.disturb(ctx, endAt, random, out)
 	}
 	callers.Wait()
 	time.Sleep(lateRunTime)
 
-	return judgeSoak(seed, outcomes, runs, out)
+	return judgeSoak(seed, outcomes, runs, trace, out)
 }
 
 // judgeSoak counts the requests that broke a rule.
-func judgeSoak(seed uint64, outcomes map[string]soakOutcome, runs *runRecord, out *record) (verdict, error) {
-	twice, refused, lost, counts := 0, 0, 0, map[int]int{}
+func judgeSoak(seed uint64, outcomes map[string]soakOutcome, runs *runRecord, trace *requestTrace, out *record) (verdict, error) {
+	broken, statuses := map[string]int{}, map[int]int{}
 	for id, outcome := range outcomes {
-		counts[outcome.status]++
+		statuses[outcome.status]++
+		rule := ""
 		switch ran := runs.count(id); {
-		case ran > 1:
-			twice++
-			out.printf("TWICE: %s", id)
+		case outcome.wrong != "":
+			rule = "MIXED"
+		case ran > 1 && !outcome.mayRepeat:
+			rule = "TWICE"
 		case ran > 0 && outcome.isClosed:
-			lost++
-			out.printf("LOST: %s", id)
-		case ran > 0 && outcome.status == http.StatusServiceUnavailable:
-			refused++
-			out.printf("REFUSED: %s", id)
+			rule = "LOST"
+		case ran > 0 && !outcome.mayRepeat && promisesNotRun(outcome.status):
+			rule = "REFUSED"
+		}
+		if rule != "" {
+			broken[rule]++
+			out.printf("%s: %s, status %d, %d runs %s\n    %s", rule, id, outcome.status, runs.count(id), outcome.wrong, trace.text(id))
 		}
 	}
-	summary := fmt.Sprintf("seed %d: %d calls, statuses %v, TWICE %d, REFUSED %d, LOST %d", seed, len(outcomes), counts, twice, refused, lost)
-	if counts[http.StatusOK] == 0 {
+	summary := fmt.Sprintf("seed %d: %d calls, statuses %v, TWICE %d, REFUSED %d, LOST %d, MIXED %d", seed, len(outcomes), statuses, broken["TWICE"], broken["REFUSED"], broken["LOST"], broken["MIXED"])
+	if statuses[http.StatusOK] == 0 {
 		return verdict{}, errors.New("the traffic did not flow: " + summary)
 	}
 
-	return verdict{isBroken: twice+refused+lost > 0, summary: summary}, nil
+	return verdict{isBroken: len(broken) > 0, summary: summary}, nil
+}
+
+// promisesNotRun reports whether a status promises that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+
+	return false
+}
+
+// wrongAnswer says what of an answer is not as the server gave it; empty if nothing is. A stream may be cut.
+func wrongAnswer(c call, answer callAnswer) string {
+	want, body := "done", string(answer.body)
+	if isSoakStream(c.target) {
+		want = strings.Join(soakStream(c.id, 0), "")
+	}
+	isCut := isSoakStream(c.target) && !answer.isWhole && strings.HasPrefix(want, body)
+	switch {
+	case answer.stamp == "" && answer.status != http.StatusOK:
+		return "" // It is the relay's own.
+	case answer.stamp != "stamp-"+c.id, answer.status != http.StatusOK:
+		return fmt.Sprintf("(stamp %q)", answer.stamp)
+	case body == want, isCut, !isSoakStream(c.target) && !answer.isWhole:
+		return ""
+	}
+
+	return fmt.Sprintf("(body %q, whole %t)", body, answer.isWhole)
 }
 
 // anyFault is one of the faults of playRefusals, drawn for each answer.
@@ -128,9 +176,12 @@
 			}
 			conn, reader = dialed, bufio.NewReader(dialed)
 		}
-		c := call{id: fmt.Sprintf("call-%d-%d", caller, n), method: http.MethodPost, target: "/credit/1", key: callerKey, deadline: time.Second, body: []byte("credit")}
+		prefix, id := soakPrefixes[(caller+n)%len(soakPrefixes)], fmt.Sprintf("call-%d-%d", caller, n)
+		// Equal requests may be held back, as those that crash servers.
+		c := call{id: id, method: http.MethodPost, target: prefix + id, key: callerKey, deadline: time.Second, body: []byte("credit")}
 		answer := exchange(conn, reader, c)
-		report(c.id, soakOutcome{status: answer.status, isClosed: !answer.isWhole})
+		isCutStream := isSoakStream(c.target) && answer.status == http.StatusOK
+		report(c.id, soakOutcome{status: answer.status, isClosed: !answer.isWhole && !isCutStream, mayRepeat: soakRepeatable[prefix], wrong: wrongAnswer(c, answer)})
 		if !answer.isWhole || answer.status == http.StatusServiceUnavailable || answer.isLast {
 			_ = conn.Close()
 			conn = nil
@@ -140,7 +191,7 @@
 }
 
 // disturb draws disruptions until a time, some while others last.
-func (f *fleet) disturb(ctx context.Context, endAt time.Time, random *rand.Rand, routes string, out *record) {
+func (f *fleet) disturb(ctx context.Context, endAt time.Time, random *rand.Rand, out *record) {
 	var restarts sync.WaitGroup
 	version := 3
 	for time.Now().Before(endAt) {
@@ -155,7 +206,7 @@
 		case 2:
 			version += 1 + random.IntN(3)
 			out.printf("configuration %d", version)
-			f.store.Write("config", "main", configuration(version, routes+","+route(fmt.Sprint("more-", version), fmt.Sprintf("/more/%d/", version), "idempotent", 3000, 2), callerKey))
+			f.store.Write("config", "main", soakConfiguration(version, ","+route(fmt.Sprint("more-", version), fmt.Sprintf("/more/%d/", version), "idempotent", 3000, 2)))
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(disturbancePause))))
 	}
