verifier: Hold the checks of an answer's head that serve and relay share

The check for statuses below 200, and whether an answer must have a body or ends with its connection, stood in connector, relayer and forwarder, so that one could be changed without the other. They are one function each in verifier now. The behaviour is the same; their tests pass unchanged (relayer: those of cut answers and odd statuses).

--- a/internal/common/verifier/verifier.go
+++ b/internal/common/verifier/verifier.go
@@ -18,6 +18,10 @@
 // ErrSeveralMessages means that the head of an answer was read from several messages.
 var ErrSeveralMessages = errors.New("the head of the answer contains the start of another one")
 
+// ErrNotFinal means that the status of an answer is not that of a final one. After status 101 (Switching Protocols),
+// for which no request asks, the body is the connection.
+var ErrNotFinal = errors.New("the status of the answer is not that of a final one")
+
 const (
 	// maxHeads limits the heads of other answers that are parsed in one body.
 	maxHeads = 64
@@ -33,9 +37,12 @@
 // Accept reports whether an answer with a status code and header fields counts as another answer.
 type Accept func(status int, header http.Header) bool
 
-// CheckHead returns ErrSeveralMessages if the status line or a field of the response contains the start
-// line of another answer.
+// CheckHead returns ErrNotFinal if the status of the response is below 200, and ErrSeveralMessages if the status
+// line or a field contains the start line of another answer.
 func CheckHead(response *http.Response) error {
+	if response.StatusCode < http.StatusOK {
+		return errors.Wrapf(ErrNotFinal, "status %d", response.StatusCode)
+	}
 	if startLine.MatchString(response.Status) {
 		return ErrSeveralMessages
 	}
@@ -53,6 +60,17 @@
 	return nil
 }
 
+// EndsWithConnection reports whether only the end of the connection shows where the response's body ends.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// MustHaveBody reports whether an answer to a request with a method was broken off behind its head if its body is
+// empty: a success whose body only the end of the connection ends.
+func MustHaveBody(method string, response *http.Response) bool {
+	return response.StatusCode/100 == 2 && method != http.MethodHead && EndsWithConnection(response)
+}
+
 // MayHoldStart reports whether another answer may begin in a body: the body contains the beginning of a start
 // line, or ends with a part of one. The body of an answer that was broken off is filled up from the next answer.
 func MayHoldStart(body []byte) bool {
--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -93,7 +93,7 @@
 // Send sends the request and returns the response, whose body is still to be read. It
 // calls beforeFirstByte right before it writes the first byte; an error of that function
 // stops the request. The error wraps ErrNotSent if no byte of the request was sent, and
-// verifier.ErrSeveralMessages if the head of the response is not that of a single answer. On
+// verifier.ErrSeveralMessages or ErrNotFinal if the head of the response is not that of a single, final answer. On
 // an error the connection is closed.
 func (c *Connection) Send(request *http.Request, beforeFirstByte func() error) (*http.Response, error) {
 	c.sent++
@@ -103,14 +103,11 @@
 	if err == nil {
 		err = verifier.CheckHead(response)
 	}
-	if err == nil && response.StatusCode < http.StatusOK {
-		err = errors.Errorf("status %d is not that of a final answer", response.StatusCode)
-		_ = c.conn.Close() // After status 101 net/http has given the connection up.
-	}
 	if err == nil {
 		return response, nil
 	}
 	_ = c.client.Close()
+	_ = c.conn.Close() // After status 101 the client has given it up.
 	if c.conn.writtenBytes.Load() == writtenBefore {
 		return nil, &notSentError{cause: errors.Wrapf(err, "send to %s", c.address)}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -80,12 +80,8 @@
 	if err != nil {
 		return nil, err
 	}
-	err = verifier.CheckHead(response)
-	if err == nil && response.StatusCode < http.StatusOK {
-		err = errors.Errorf("status %d is not that of a final answer", response.StatusCode)
-	}
-	if err != nil {
-		_ = response.Body.Close() // After status 101 it is the connection.
+	if err := verifier.CheckHead(response); err != nil {
+		_ = response.Body.Close()
 
 		return nil, err
 	}
--- a/internal/forwarder/plain_call.go
+++ b/internal/forwarder/plain_call.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
 )
@@ -59,7 +60,7 @@
 	}
 
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
-	if err != nil || (len(body) == 0 && mustHaveBody(response)) {
+	if err != nil || (len(body) == 0 && verifier.MustHaveBody(call.Method, response)) {
 		return PlainAnswer{}, newPlainFailure(ctx, retrier.StartConfirmed())
 	}
 	if len(body) > MaxAnswerBytes {
@@ -69,17 +70,6 @@
 	return PlainAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
-// mustHaveBody reports whether an answer without a body was broken off behind its head: a success whose body only
-// the end of the connection ends.
-func mustHaveBody(response *http.Response) bool {
-	return response.StatusCode/100 == 2 && response.Request.Method != http.MethodHead && endsWithConnection(response)
-}
-
-// endsWithConnection reports whether only the end of the connection shows where the response's body ends.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // RunPlainCallDetached is like RunPlainCall, but the call continues until the deadline
 // even if the caller disconnects.
 func (f *Forwarder) RunPlainCallDetached(call PlainCall, deadline time.Time) (PlainAnswer, *retrier.Failure) {
--- a/internal/forwarder/stream_attempt.go
+++ b/internal/forwarder/stream_attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oleanderpick/oleanderpick/internal/common/sse"
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
 	"github.com/oleanderpick/oleanderpick/pkg/joiner"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
@@ -102,7 +103,7 @@
 func (s *streamAttempt) readEvents(response *http.Response) {
 	defer response.Body.Close()
 	events := sse.NewReader(response.Body)
-	if endsWithConnection(response) {
+	if verifier.EndsWithConnection(response) {
 		events = sse.NewStrictReader(response.Body)
 	}
 	for {
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -98,7 +98,7 @@
 			buffer = buffer[:len(buffer)+n]
 			a.stallDetector.extend()
 			switch {
-			case errors.Is(err, io.EOF) && len(buffer) == 0 && r.mustHaveBody(a.response):
+			case errors.Is(err, io.EOF) && len(buffer) == 0 && verifier.MustHaveBody(r.incoming.Method, a.response):
 				return buffer, false, io.ErrUnexpectedEOF
 			case errors.Is(err, io.EOF):
 				return buffer, true, nil
@@ -113,12 +113,6 @@
 	}
 }
 
-// mustHaveBody reports whether an answer without a body was broken off behind its head: a success whose body only
-// the end of the connection ends.
-func (r *relayedRequest) mustHaveBody(response *http.Response) bool {
-	return response.StatusCode/100 == 2 && r.incoming.Method != http.MethodHead && endsWithConnection(response)
-}
-
 // logInParts logs that an answer is forwarded as it arrives, since there is no memory to keep it.
 func (r *relayedRequest) logInParts(a *attempt, keptBytes int) {
 	heldBytes, waiting := r.memory.usage()
@@ -131,7 +125,7 @@
 // connection ends the body, that is one that names any request. If the body has a length or chunks, which
 // a broken-off answer has too, it is one that names this request.
 func (r *relayedRequest) hasNextAnswer(response *http.Response, body []byte) bool {
-	return verifier.FindHead(body, r.isNextAnswer(endsWithConnection(response)))
+	return verifier.FindHead(body, r.isNextAnswer(verifier.EndsWithConnection(response)))
 }
 
 // fillUpWait is how long the rest of an answer may take whose beginning may have filled up the body before it.
@@ -201,7 +195,7 @@
 	r.writeAnswerHeader(a.response, a.response.ContentLength)
 	a.answered = true
 	a.result = placer.Finished
-	body := verifier.NewReader(io.MultiReader(bytes.NewReader(buffered), a.response.Body), r.isNextAnswer(endsWithConnection(a.response)))
+	body := verifier.NewReader(io.MultiReader(bytes.NewReader(buffered), a.response.Body), r.isNextAnswer(verifier.EndsWithConnection(a.response)))
 	_, err := io.CopyN(r.w, body, int64(len(buffered)))
 	r.memory.giveBack(cap(buffered))
 	if err == nil {
--- a/internal/relayer/crash.go
+++ b/internal/relayer/crash.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/internal/connector"
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/pkg/isolator"
@@ -167,7 +168,7 @@
 	if a.response.StatusCode/100 == 2 && (a.hasBegun || !isEventStream(a.response.Header)) {
 		blocks = r.metadata.SharedBlocks()
 	}
-	if !endsWithConnection(a.response) {
+	if !verifier.EndsWithConnection(a.response) {
 		a.completedBlocks = blocks
 		if dispatch.HasSuspects() {
 			dispatch.RecordCompletion(r.fingerprint())
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/oleanderpick/oleanderpick/internal/common/sse"
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 )
 
@@ -41,14 +42,14 @@
 // forwardStream forwards each event of the answer as soon as it has arrived whole.
 func (r *relayedRequest) forwardStream(ctx context.Context, a *attempt) {
 	events := sse.NewRawReader(a.response.Body)
-	if endsWithConnection(a.response) {
+	if verifier.EndsWithConnection(a.response) {
 		events = sse.NewStrictRawReader(a.response.Body, r.relayer.codec.EventFields()...)
 	}
 	flusher := http.NewResponseController(r.w)
 	lastReported := time.Time{}
 	for first := true; ; first = false {
 		event, err := events.Next()
-		if errors.Is(err, io.EOF) && !a.hasBegun && endsWithConnection(a.response) {
+		if errors.Is(err, io.EOF) && !a.hasBegun && verifier.EndsWithConnection(a.response) {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
@@ -133,9 +134,3 @@
 	r.releaseConnection(a, true)
 	r.recordServed(a)
 }
-
-// endsWithConnection reports whether only the end of the connection shows where the
-// response's body ends.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
