storer, commander, poller: Follow no redirections

A write counted as done, a read returned another object and an order counted as accepted by the answer to a further request, which net/http sends by itself when an answer redirects. It is the cause that the forwarder had: a statement about another request. It acted in relay and serve, as both use the store's client.

Clients are made by verifier.WithoutRedirects now; a redirected write is in doubt, a read unavailable, an order fails. TestRedirectionIsNoAnswerOfAnotherRequest (3 of 3 cases) and TestOrderThatIsRedirectedIsNotAccepted fail without it; the poller's has no test, as a wrong load report is only old.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/pkg/orderer"
 )
 
@@ -40,7 +41,7 @@
 
 // New returns a commander whose orders state the given holder of the lease.
 func New(client *http.Client, holderID string) *Commander {
-	return &Commander{client: client, holderID: holderID}
+	return &Commander{client: verifier.WithoutRedirects(client), holderID: holderID}
 }
 
 // orderMessage is the body of the HTTP request with which an order is sent.
--- a/internal/commander/repeated_answer_test.go
+++ b/internal/commander/repeated_answer_test.go
@@ -60,3 +60,17 @@
 		})
 	}
 }
+
+// Guards against an order that counts as accepted by the state of the engine to which the answer redirects.
+func TestOrderThatIsRedirectedIsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := piper.New()
+		defer network.Close()
+		network.Serve("engine", http.RedirectHandler("http://other/v1/orders", http.StatusSeeOther))
+		network.Serve("other", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"fence":9}`) }))
+		client := network.Client()
+		defer client.CloseIdleConnections()
+		_, err := commander.New(client, "holder").SendOrder(t.Context(), orderer.Order{Address: "http://engine", Fence: 9, ExpiresAt: time.Now().Add(time.Hour)})
+		assert.Assert(t, err != nil)
+	})
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -57,18 +57,12 @@
 			ReadBufferSize:      readBufferBytes,
 		}
 
-		return &http.Client{Transport: verifiedTransport{transport}, CheckRedirect: useLastResponse}
+		return verifier.WithoutRedirects(&http.Client{Transport: verifiedTransport{transport}})
 	}
 
 	return &Forwarder{pooledClient: newClient(true), unpooledClient: newClient(false), settings: settings}
 }
 
-// useLastResponse makes a redirection the answer. The answer to a further request would say nothing of the
-// first one.
-func useLastResponse(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // verifiedTransport fails requests whose answers are read from several messages, or are not final.
 type verifiedTransport struct {
 	*http.Transport
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/internal/controller"
 	"github.com/oleanderpick/oleanderpick/internal/meter"
 	"github.com/oleanderpick/oleanderpick/internal/storer"
@@ -72,7 +73,7 @@
 		settings:   settings,
 		controller: control,
 		store:      store,
-		client:     client,
+		client:     verifier.WithoutRedirects(client),
 		meter:      counters,
 		logger:     logger,
 		done:       make(chan struct{}),
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -25,6 +25,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/oleanderpick/oleanderpick/internal/common/splitter"
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 )
 
 // MaxSpecBytes is the maximum size of an object's spec or status, in bytes. A write of a
@@ -53,7 +54,7 @@
 // "http://10.0.0.1:7000". The HTTP client must not be shared with other users, because
 // its idle connections are closed after a call without an answer.
 func New(baseURL string, httpClient *http.Client) *Client {
-	return &Client{baseURL: baseURL, httpClient: httpClient, timeout: defaultTimeout, dialect: nativeDialect{}, epoch: &atomic.Uint64{}}
+	return &Client{baseURL: baseURL, httpClient: verifier.WithoutRedirects(httpClient), timeout: defaultTimeout, dialect: nativeDialect{}, epoch: &atomic.Uint64{}}
 }
 
 // WithDialect returns a copy of the client that uses another dialect of the API.
@@ -331,7 +332,7 @@
 
 // statusError returns the error for an HTTP error status. Of the statuses 429 and 5xx
 // only 429 and 503, which the store itself sends, prove that a write had no effect. Any
-// other 5xx may come from an intermediary that lost the store's answer.
+// other 5xx, and a redirection, may come from an intermediary that lost the store's answer.
 func (c *Client) statusError(call Call, status int, epoch uint64, body []byte) error {
 	cause := errors.Errorf("%s %s/%s: status %d", call.Verb, call.Kind, call.Name, status)
 	switch status {
@@ -356,7 +357,7 @@
 		return newCallError(cause, ErrUnavailable)
 	}
 
-	if status/100 != 5 {
+	if status/100 == 4 {
 		return newCallError(cause, ErrInvalidCall)
 	}
 	if call.isWrite() {
