--- a/internal/configurer/relay.go
+++ b/internal/configurer/relay.go
@@ -53,6 +53,33 @@
 	// FirstStart is true when the whole system starts for the first time, so that there were
 	// no streams before.
 	FirstStart bool
+	// Features names, separated by commas, what the platform states that the deployment uses; the
+	// platform's package maps the names to features of the instance.
+	Features string
+	// Duties are the settings of calls that one instance makes for all.
+	Duties DutySettings
+}
+
+// DutySettings configure the calls to the cloud API that one instance at a time makes for all.
+type DutySettings struct {
+	// CloudURL is the base URL of the cloud API; empty if no instance makes such calls.
+	CloudURL string
+	// Names holds the platform's names of the duties, separated by commas.
+	Names string
+	// CallsPerSecond is the number of calls that the cloud API accepts from all instances together.
+	CallsPerSecond float64
+	// RequireFence is true if the cloud API refuses fencing tokens that are lower than one seen.
+	RequireFence bool
+	// LeaseDuration is the time within which no instance may hold a duty twice with another
+	// holder between.
+	LeaseDuration time.Duration
+	// ThawTime is how long after a suspension or a partition calls of a former holder may still
+	// arrive.
+	ThawTime time.Duration
+	// UsageWindow is the length of a window of usage, UsageDelay the time after its end at which the
+	// report is due, and UsageTolerance the largest relative error of a count.
+	UsageWindow, UsageDelay time.Duration
+	UsageTolerance          float64
 }
 
 // Defaults of the settings of `relay`.
@@ -105,10 +132,48 @@
 	set.DurationVar(&s.ChangeLimit, "change-limit", defaultChangeLimit, "longest `time` in which a change of the configuration takes effect")
 	set.DurationVar(&s.DrainLimit, "drain-limit", defaultChangeLimit, "longest `time` in which an endpoint that leaves gets no more requests")
 	set.BoolVar(&s.FirstStart, "first-start", false, "the whole system starts for the first time")
+	set.StringVar(&s.Features, "features", "", "`names` of what the platform states that the deployment uses, separated by commas")
+	s.Duties.addFlags(set)
 
 	return set
 }
 
+// addFlags adds the flags that set the fields of s when parsed.
+func (s *DutySettings) addFlags(set *flag.FlagSet) {
+	set.StringVar(&s.CloudURL, "cloud", "", "base `URL` of the cloud API for duties; empty: none")
+	set.StringVar(&s.Names, "duties", "", "`names` of the duties at the cloud API, separated by commas")
+	set.Float64Var(&s.CallsPerSecond, "duty-rate", 0, "`calls` a second that the cloud API accepts from all instances; 0: no limit")
+	set.BoolVar(&s.RequireFence, "duty-fence", false, "the cloud API refuses fencing tokens lower than one seen")
+	set.DurationVar(&s.LeaseDuration, "duty-lease", 0, "`time` within which a duty does not return to a former holder")
+	set.DurationVar(&s.ThawTime, "duty-thaw", 0, "`time` after a suspension in which calls of a former holder may arrive")
+	set.DurationVar(&s.UsageWindow, "usage-window", 0, "`length` of a window of usage; 0: usage is not reported")
+	set.DurationVar(&s.UsageDelay, "usage-delay", 0, "`time` after the end of a window at which its report is due")
+	set.Float64Var(&s.UsageTolerance, "usage-tolerance", 0, "largest relative `error` of a reported count")
+}
+
+// check validates the settings.
+func (s DutySettings) check() error {
+	if s.CloudURL != "" {
+		cloudURL, err := url.Parse(s.CloudURL)
+		if err != nil || cloudURL.Scheme != "http" || cloudURL.Host == "" {
+			return flagger.InvalidValueError("cloud", s.CloudURL, "a URL that starts with http://")
+		}
+		if s.LeaseDuration <= 0 {
+			return flagger.InvalidValueError("duty-lease", s.LeaseDuration, "a time over 0s with -cloud")
+		}
+	}
+	switch {
+	case s.CallsPerSecond < 0:
+		return flagger.InvalidValueError("duty-rate", s.CallsPerSecond, "0 or more")
+	case s.LeaseDuration < 0 || s.ThawTime < 0 || s.UsageWindow < 0 || s.UsageDelay < 0:
+		return flagger.InvalidValueError("duty-lease", s.LeaseDuration, "0s or more, as -duty-thaw, -usage-window and -usage-delay")
+	case s.UsageTolerance < 0 || s.UsageTolerance >= 1:
+		return flagger.InvalidValueError("usage-tolerance", s.UsageTolerance, "0 or more and below 1")
+	}
+
+	return nil
+}
+
 // SeedAddresses returns the seeds as a list of addresses, without empty entries.
 func (s RelaySettings) SeedAddresses() []string {
 	var addresses []string
@@ -144,6 +209,10 @@
 		}
 	}
 
+	if err := s.Duties.check(); err != nil {
+		return err
+	}
+
 	return s.checkLimits()
 }
 
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -312,7 +312,8 @@
 		go func() { serverErrors <- server.Serve(listener) }()
 	}
 	r.logger.Info("Serving.", "name", r.settings.Name, "data centre", r.settings.DataCentre, "callers", r.settings.Listen,
-		"peers", r.settings.PeerListen, "metrics", r.settings.MetricsListen, "key lease", r.settings.KeyLeaseDuration.String())
+		"peers", r.settings.PeerListen, "metrics", r.settings.MetricsListen, "key lease", r.settings.KeyLeaseDuration.String(),
+		"features", r.settings.Features, "cloud", r.settings.Duties.CloudURL, "duties", r.settings.Duties.Names, "duty lease", r.settings.Duties.LeaseDuration.String(), "usage window", r.settings.Duties.UsageWindow.String())
 	select {
 	case err := <-serverErrors:
 		return errors.Wrap(err, "serve")
