relayer, forwarder, storer: Take no answer for whole that ends before its request is sent

Cause: an answer without a length ends with its connection. If the endpoint resets that while the upload is still being written, the writer may receive the error and the reader a regular end; the caller then got a part of the answer as the whole. Change: sendtracker follows each request through the bytes written; an answer that only the end of the connection ends counts if the request was written whole without an error and is acknowledged. Used on connections to endpoints and peers, and in the clients of serve and of the object API. Statuses above 599 are no answers, as those below 200. Ruled out: waiting for a reset after the end of the body, which may come at any time later.

--- a/internal/common/verifier/verifier.go
+++ b/internal/common/verifier/verifier.go
@@ -37,10 +37,14 @@
 // Accept reports whether an answer with a status code and header fields counts as another answer.
 type Accept func(status int, header http.Header) bool
 
-// CheckHead returns ErrNotFinal if the status of the response is below 200, and ErrSeveralMessages if the status
+// maxStatus is the highest status code of HTTP (RFC 9110, section 15). What a higher one says is not defined, so
+// that it cannot be forwarded as an answer.
+const maxStatus = 599
+
+// CheckHead returns ErrNotFinal if the status of the response is below 200 or above 599, and ErrSeveralMessages if the status
 // line or a field contains the start line of another answer.
 func CheckHead(response *http.Response) error {
-	if response.StatusCode < http.StatusOK {
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		return errors.Wrapf(ErrNotFinal, "status %d", response.StatusCode)
 	}
 	if startLine.MatchString(response.Status) {
--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -74,6 +74,12 @@
 	return c.conn.endsWith(body)
 }
 
+// HasSentAll reports whether all requests have left the connection whole, without an error and, as far as the
+// operating system tells, acknowledged.
+func (c *Connection) HasSentAll() bool {
+	return c.conn.HasSentAll()
+}
+
 // SentRequests returns the number of requests that were sent on the connection.
 func (c *Connection) SentRequests() int {
 	return c.sent
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -26,6 +26,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/oleanderpick/oleanderpick/internal/common/sendtracker"
 )
 
 // ErrNotSent means that no byte of the request was sent.
@@ -121,7 +123,7 @@
 			if err != nil {
 				return nil, err
 			}
-			counted := &countingConn{Conn: conn}
+			counted := &countingConn{Conn: sendtracker.New(conn)}
 			if dialed, ok := ctx.Value(dialedConnKey{}).(**countingConn); ok {
 				*dialed = counted
 			}
--- a/internal/connector/counting_conn.go
+++ b/internal/connector/counting_conn.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/oleanderpick/oleanderpick/internal/common/sendtracker"
 )
 
 // maxTailBytes is how many of the bytes that were received last a countingConn keeps.
@@ -17,7 +18,7 @@
 // countingConn counts the bytes that were passed to the operating system for sending, and keeps the
 // last ones that were received.
 type countingConn struct {
-	net.Conn
+	*sendtracker.Conn
 
 	writtenBytes atomic.Int64
 	beforeWrite  atomic.Pointer[func() error] // nil: none
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/sendtracker"
 	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
 	"github.com/oleanderpick/oleanderpick/pkg/joiner"
@@ -57,7 +58,7 @@
 			ReadBufferSize:      readBufferBytes,
 		}
 
-		return verifier.WithoutRedirects(&http.Client{Transport: verifiedTransport{transport}})
+		return verifier.WithoutRedirects(&http.Client{Transport: verifiedTransport{sendtracker.NewTransport(transport)}})
 	}
 
 	return &Forwarder{pooledClient: newClient(true), unpooledClient: newClient(false), settings: settings}
@@ -65,7 +66,7 @@
 
 // verifiedTransport fails requests whose answers are read from several messages, or are not final.
 type verifiedTransport struct {
-	*http.Transport
+	sendtracker.Transport
 }
 
 // RoundTrip sends the request and checks the head of its answer.
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/sendtracker"
 	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/pkg/answerer"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
@@ -76,6 +77,11 @@
 	a.answered = true
 }
 
+// endsEarly reports whether an answer that was read to its end may have been broken off.
+func (a *attempt) endsEarly() bool {
+	return sendtracker.EndsEarly(a.response, a.connection.HasSentAll)
+}
+
 // minAnswerBytes is the memory for an answer of unknown length at first.
 const minAnswerBytes = 4 << 10
 
@@ -100,6 +106,8 @@
 			switch {
 			case errors.Is(err, io.EOF) && len(buffer) == 0 && verifier.MustHaveBody(r.incoming.Method, a.response):
 				return buffer, false, io.ErrUnexpectedEOF
+			case errors.Is(err, io.EOF) && a.endsEarly():
+				return buffer, false, sendtracker.ErrEarlyEnd
 			case errors.Is(err, io.EOF):
 				return buffer, true, nil
 			case err != nil:
@@ -201,6 +209,9 @@
 	if err == nil {
 		_, err = io.Copy(r.w, body)
 	}
+	if err == nil && a.endsEarly() {
+		err = sendtracker.ErrEarlyEnd
+	}
 	if err != nil {
 		a.result = placer.Failed
 		a.connection.Close()
--- a/internal/relayer/raw_connection_test.go
+++ b/internal/relayer/raw_connection_test.go
@@ -103,7 +103,7 @@
 
 // Guards against a status that ends no answer being forwarded, or ending the caller's connection without one.
 func TestStatusThatIsNotFinalIsAnswered502(t *testing.T) {
-	for _, status := range []string{"000", "099", "101"} {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
 		runWithHarness(t, func(t *testing.T, h *harness) {
 			h.serveRaw(func(conn net.Conn, reader *bufio.Reader) {
 				if h.readRawRequest(reader) != nil {
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/sendtracker"
 	"github.com/oleanderpick/oleanderpick/internal/common/sse"
 	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
@@ -49,9 +50,7 @@
 	lastReported := time.Time{}
 	for first := true; ; first = false {
 		event, err := events.Next()
-		if errors.Is(err, io.EOF) && !a.hasBegun && verifier.EndsWithConnection(a.response) {
-			err = io.ErrUnexpectedEOF
-		}
+		err = a.checkStreamEnd(err)
 		if errors.Is(err, io.EOF) {
 			r.finishStream(ctx, a)
 
@@ -92,6 +91,21 @@
 	}
 }
 
+// checkStreamEnd returns the error of a stream that looks whole but may have been broken off in place of io.EOF.
+// Other errors it returns as they are.
+func (a *attempt) checkStreamEnd(err error) error {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return err
+	case !a.hasBegun && verifier.EndsWithConnection(a.response):
+		return io.ErrUnexpectedEOF
+	case a.endsEarly():
+		return sendtracker.ErrEarlyEnd
+	}
+
+	return err
+}
+
 // recordEventTiming records the arrival of an event.
 func (r *relayedRequest) recordEventTiming(now time.Time) {
 	if r.lastEventAt.IsZero() {
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/archiver"
 	"github.com/oleanderpick/oleanderpick/internal/chronicler"
 	"github.com/oleanderpick/oleanderpick/internal/common/clock"
+	"github.com/oleanderpick/oleanderpick/internal/common/sendtracker"
 	"github.com/oleanderpick/oleanderpick/internal/configurer"
 	"github.com/oleanderpick/oleanderpick/internal/connector"
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
@@ -150,7 +151,7 @@
 	r.peerConnections = connector.New(connector.DefaultSettings(), host.DialEndpoint)
 	r.relayer = relayer.New(platform.Codec, r.dispatcher, r.endpointConnections, r.peerConnections, counters, logger.Named("relayer"), rand.Uint64)
 	r.relayer.SetMemory(memoryBytes(settings))
-	store := storer.New(settings.PlatformURL, &http.Client{Transport: newStoreTransport(host)}).
+	store := storer.New(settings.PlatformURL, &http.Client{Transport: sendtracker.NewTransport(newStoreTransport(host))}).
 		WithTimeout(storeTimeout).WithDialect(platform.Dialect)
 	versionChronicler := chronicler.New(chronicler.Settings{
 		Kind: platform.Decoder.VersionKind(), FirstStart: settings.FirstStart, LongestStream: r.dispatcher.LongestStream,
@@ -224,12 +225,12 @@
 	settings.Name, settings.Address, settings.DataCentre = r.settings.Name, r.settings.PeerListen, r.settings.DataCentre
 	settings.Incarnation = uint64(time.Now().UnixNano())
 	settings.Seeds = r.settings.SeedAddresses()
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: sendtracker.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: 2,
 		DisableCompression:  true, // Messages are small.
 		IdleConnTimeout:     peerIdleTimeout,
 		DialContext:         r.host.dialWithin(settings.ExchangeTimeout),
-	}}
+	})}
 
 	return gossiper.New(settings, r.dispatcher, decoder, client, counters, logger)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -16,6 +16,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/oleanderpick/oleanderpick/internal/commander"
+	"github.com/oleanderpick/oleanderpick/internal/common/sendtracker"
 	"github.com/oleanderpick/oleanderpick/internal/configurer"
 	"github.com/oleanderpick/oleanderpick/internal/controller"
 	"github.com/oleanderpick/oleanderpick/internal/exchanger"
@@ -271,13 +272,13 @@
 
 // newTransport returns an HTTP transport with the given TLS configuration, or without one
 // if it is nil.
-func newTransport(tlsConfig *tls.Config) *http.Transport {
-	return &http.Transport{
+func newTransport(tlsConfig *tls.Config) http.RoundTripper {
+	return sendtracker.NewTransport(&http.Transport{
 		TLSClientConfig:     tlsConfig,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-	}
+	})
 }
 
 // newHTTPServer returns an HTTP server with the given TLS configuration, or without TLS if
