placer, gossiper: Postpone no request for prompts of lower tiers

The predicted wait counted all pending prompt tokens of an engine, also those of lower tiers, which the engine prefills after a more urgent request; and less urgent routes have longer targets, so they were let in. Change: loads say how many of the pending tokens are those of each lower tier; whether a request is postponed follows from the tokens of its tier and higher ones. Where a request goes is decided as before.

--- a/internal/dispatcher/load_change_test.go
+++ b/internal/dispatcher/load_change_test.go
@@ -31,7 +31,7 @@
 	cancel()
 	<-d.Done()
 	assert.DeepEqual(t, reported, []placer.Load{
-		{RunningRequests: 1, RunningShortPrompts: 1, PendingTokens: 100, LowerTiers: placer.LowerTiers{0, 1}},
+		{RunningRequests: 1, RunningShortPrompts: 1, PendingTokens: 100, LowerTiers: placer.LowerTiers{0, 1}, LowerPending: placer.LowerPending{0, 100}},
 		{},
 	})
 }
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -112,15 +112,16 @@
 func EncodeLoad(endpoint string, load placer.Load) *gossipwire.Load {
 	return &gossipwire.Load{
 		Endpoint: endpoint, Running: uint32(max(0, load.RunningRequests)), Short: uint32(max(0, load.RunningShortPrompts)),
-		Pending: uint32(max(0, load.PendingTokens)), Lower: encodeLowerTiers(load.LowerTiers),
+		Pending: uint32(max(0, load.PendingTokens)), Lower: encodeLowerTiers(load.LowerTiers[:]),
+		PendingLower: encodeLowerTiers(load.LowerPending[:]),
 	}
 }
 
-// encodeLowerTiers returns the wire form of the numbers of requests in the lower tiers,
+// encodeLowerTiers returns the wire form of the numbers of requests or tokens in the lower tiers,
 // without zeros at the end.
-func encodeLowerTiers(requests placer.LowerTiers) []uint32 {
+func encodeLowerTiers[N int16 | int32](counts []N) []uint32 {
 	var encoded []uint32
-	for i, count := range requests {
+	for i, count := range counts {
 		if count > 0 {
 			encoded = append(encoded, make([]uint32, i+1-len(encoded))...)
 			encoded[i] = uint32(count)
@@ -138,6 +139,11 @@
 			decoded.LowerTiers[i] = int16(min(count, math.MaxInt16))
 		}
 	}
+	for i, tokens := range load.GetPendingLower() {
+		if i < len(decoded.LowerPending) {
+			decoded.LowerPending[i] = int32(min(tokens, math.MaxInt32))
+		}
+	}
 
 	return decoded
 }
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -143,11 +143,13 @@
 // every long prompt late, postponing some of them lets the others be on time. A
 // prompt whose prefill alone takes longer than its target gains nothing by trying
 // again, so it waits for its turn unless the backlog alone exceeds the target.
+// Prompts of lower tiers are no backlog: an engine prefills them later, and a request
+// that was postponed for them would get less than they do.
 func (p *Placer) ShouldPostpone(request Request, choice Choice) (time.Duration, bool) {
 	if request.TargetTimeToFirstToken <= 0 || !choice.IsLongPrompt || len(request.AvoidEndpoints) > 0 {
 		return 0, false
 	}
-	wait := choice.ExpectedTimeToFirstToken
+	wait := choice.ExpectedTimeToFirstToken - choice.TimeBehindTier
 	if choice.PrefillTime >= request.TargetTimeToFirstToken {
 		wait -= choice.PrefillTime
 	}
@@ -155,7 +157,7 @@
 		return 0, false
 	}
 
-	return choice.ExpectedTimeToFirstToken + postponeDelay, true
+	return choice.ExpectedTimeToFirstToken - choice.TimeBehindTier + postponeDelay, true
 }
 
 // RecordSent records that a local request was sent to the chosen endpoint. The
@@ -171,7 +173,7 @@
 		tokensAhead: e.totalLoad().PendingTokens, sentAt: now,
 	}
 	e.localLoad.addRequest(request.Tier, 1)
-	e.localLoad.PendingTokens += choice.UncachedTokens
+	e.localLoad.addPending(request.Tier, choice.UncachedTokens)
 	if request.PromptTokens > 0 && !choice.IsLongPrompt {
 		e.localLoad.RunningShortPrompts++
 	}
@@ -190,7 +192,7 @@
 		return
 	}
 	r.hasStarted, r.startedAt = true, now
-	r.endpoint.localLoad.PendingTokens -= r.uncachedTokens
+	r.endpoint.localLoad.addPending(r.request.Tier, -r.uncachedTokens)
 	r.endpoint.lastActivity = now
 	r.endpoint.startedRequests++
 	r.service.updatePrefillRate(r.uncachedTokens+r.tokensAhead, now.Sub(r.sentAt))
@@ -227,7 +229,7 @@
 			r.service.updateRunTime(now.Sub(r.startedAt))
 		}
 	} else {
-		r.endpoint.localLoad.PendingTokens -= r.uncachedTokens
+		r.endpoint.localLoad.addPending(r.request.Tier, -r.uncachedTokens)
 	}
 	if r.request.PromptTokens > 0 && !r.isLongPrompt {
 		r.endpoint.localLoad.RunningShortPrompts--
--- a/pkg/placer/placer_test.go
+++ b/pkg/placer/placer_test.go
@@ -202,6 +202,25 @@
 	assert.Assert(t, !postponed, "short prompts are not postponed")
 }
 
+// Guards against postponing a request for prompts of lower tiers, which an engine prefills after it, while
+// these are served; and against not postponing it for prompts of its own tier.
+func TestBacklogOfLowerTiersPostponesNoHigherTier(t *testing.T) {
+	p := newPlacer("a", engines(2))
+	low := longRequest(0, 0)
+	for id := range uint64(30) {
+		low = longRequest(id, id)
+		low.Tier = 2
+		p.RecordSent(start, id, pick(t, p, start, low), low)
+	}
+	low.Blocks = longRequest(30, 30).Blocks
+	_, postponed := p.ShouldPostpone(low, pick(t, p, start, low))
+	assert.Assert(t, postponed)
+	high := longRequest(31, 31)
+	high.Tier = 1
+	_, postponed = p.ShouldPostpone(high, pick(t, p, start, high))
+	assert.Assert(t, !postponed)
+}
+
 // A request that goes to an engine without its shared block gets the address of an
 // engine that has it cached, if the service's engines can copy.
 func TestChoiceNamesEngineToCopySharedBlockFrom(t *testing.T) {
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -108,6 +108,9 @@
 	// ExpectedTimeToFirstToken is the predicted time to the first token; zero for
 	// plain services.
 	ExpectedTimeToFirstToken time.Duration
+	// TimeBehindTier is the part of ExpectedTimeToFirstToken that prompts of lower tiers take, which
+	// the engine prefills after the request.
+	TimeBehindTier time.Duration
 	// UncachedTokens is the number of prompt tokens that the engine has to
 	// prefill. PrefillTime is the part of ExpectedTimeToFirstToken that this takes.
 	UncachedTokens int
@@ -167,11 +170,16 @@
 	// LowerTiers[i] is the number of the requests in flight that have tier i+1. The
 	// others have tier 0.
 	LowerTiers LowerTiers
+	// LowerPending[i] is the number of the pending tokens whose requests have tier i+1.
+	LowerPending LowerPending
 }
 
 // LowerTiers holds a number of requests for each tier below the highest.
 type LowerTiers [TierCount - 1]int16
 
+// LowerPending holds a number of tokens for each tier below the highest.
+type LowerPending [TierCount - 1]int32
+
 // requestsUpTo returns the number of requests in flight that have a tier or a higher one:
 // those that an engine does not preempt for a request of the tier.
 func (l Load) requestsUpTo(tier int) int {
@@ -191,6 +199,25 @@
 	}
 }
 
+// pendingUpTo returns the number of pending tokens of requests that have a tier or a higher one: those
+// that an engine prefills before a request of the tier.
+func (l Load) pendingUpTo(tier int) int {
+	tokens := l.PendingTokens
+	for _, lower := range l.LowerPending[min(max(tier, 0), TierCount-1):] {
+		tokens -= int(lower)
+	}
+
+	return max(0, tokens)
+}
+
+// addPending adds pending tokens of a request of a tier, which may be negative.
+func (l *Load) addPending(tier, tokens int) {
+	l.PendingTokens += tokens
+	if tier > 0 {
+		l.LowerPending[min(tier, TierCount-1)-1] += int32(tokens)
+	}
+}
+
 // plus returns the sum of the load and factor times another load.
 func (l Load) plus(other Load, factor int) Load {
 	sum := Load{
@@ -200,6 +227,7 @@
 	}
 	for i := range sum.LowerTiers {
 		sum.LowerTiers[i] = l.LowerTiers[i] + int16(factor)*other.LowerTiers[i]
+		sum.LowerPending[i] = l.LowerPending[i] + int32(factor)*other.LowerPending[i]
 	}
 
 	return sum
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -178,8 +178,8 @@
 	return Choice{
 		CacheSourceAddress: addressOf(source),
 		EndpointID:         e.ID, Address: e.Address, Version: e.Version, StartedUnixMs: e.StartedUnixMs,
-		ExpectedTimeToFirstToken: s.timeToFirstToken(e, uncachedTokens),
-		UncachedTokens:           uncachedTokens, PrefillTime: s.service.prefillTime(uncachedTokens), IsLongPrompt: s.isLongPrompt(),
+		ExpectedTimeToFirstToken: s.timeToFirstToken(e, uncachedTokens), TimeBehindTier: s.timeBehindTier(e),
+		UncachedTokens: uncachedTokens, PrefillTime: s.service.prefillTime(uncachedTokens), IsLongPrompt: s.isLongPrompt(),
 		HasPrompt: true,
 		KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre, Split: split, EngineCount: len(s.eligible),
 	}
@@ -354,3 +354,10 @@
 	return s.service.prefillTime(load.PendingTokens+uncachedTokens) + time.Duration(load.RunningRequests)*delayPerRunningRequest +
 		s.service.slotWait(load.requestsUpTo(s.request.Tier), e.slotsOrDefault())
 }
+
+// timeBehindTier returns the part of timeToFirstToken that the prompts of lower tiers take.
+func (s *search) timeBehindTier(e *endpoint) time.Duration {
+	load := e.totalLoad()
+
+	return s.service.prefillTime(load.PendingTokens - load.pendingUpTo(s.request.Tier))
+}
