platform, registrar: Read scale, spot and leaves_ms

Ordering endpoints needs a service's limits and prices, and which endpoints may be reclaimed or leave soon. A long prompt's prefix group no longer prefers an endpoint that states when it leaves.

--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -165,8 +165,9 @@
 	d.storeEpoch = epoch
 }
 
-// digestEndpoints returns a hash of a listing: of every field of its endpoints, in the
-// order in which they are listed.
+// digestEndpoints returns a hash of a listing: of the fields of its endpoints, in the order in
+// which they are listed. LeavesIn is left out, since it decreases from read to read, and Spot unless
+// it is set, so that an older build has the same digest where no endpoint is a spot one.
 func digestEndpoints(endpoints []registrar.Endpoint) uint64 {
 	hash := fnv.New64a()
 	for _, e := range endpoints {
@@ -177,6 +178,9 @@
 			_, _ = hash.Write([]byte(field))
 			_, _ = hash.Write([]byte{0})
 		}
+		if e.Spot {
+			_, _ = hash.Write([]byte("spot\x00"))
+		}
 	}
 
 	return hash.Sum64()
--- a/internal/gossiper/fetch.go
+++ b/internal/gossiper/fetch.go
@@ -34,6 +34,7 @@
 			reply.Endpoints = append(reply.Endpoints, &gossipwire.Endpoint{
 				Id: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
 				Slots: uint32(max(0, e.Slots)), Draining: e.Draining, Born: e.StartedUnixMs, Software: e.Version,
+				Spot: e.Spot, LeavesMs: toMilliseconds(e.LeavesIn),
 			})
 		}
 	}
@@ -85,6 +86,7 @@
 		endpoints = append(endpoints, registrar.Endpoint{
 			ID: e.GetId(), Service: e.GetService(), Address: e.GetAddress(), DataCentre: e.GetDataCentre(),
 			Slots: int(e.GetSlots()), Draining: e.GetDraining(), StartedUnixMs: e.GetBorn(), Version: e.GetSoftware(),
+			Spot: e.GetSpot(), LeavesIn: time.Duration(e.GetLeavesMs()) * time.Millisecond,
 		})
 	}
 
--- a/pkg/matcher/configuration.go
+++ b/pkg/matcher/configuration.go
@@ -104,6 +104,21 @@
 	MaxConnections int
 	// Engine describes the service's engines; nil for plain services.
 	Engine *EngineSettings
+	// Scale describes how the service's endpoints are ordered; nil if they are not.
+	Scale *ScaleSettings
+}
+
+// ScaleSettings are the limits and prices of endpoints that are ordered.
+type ScaleSettings struct {
+	// Min and Max limit the endpoints of each data centre, spot or not.
+	Min, Max int
+	// BootTime is the time from an order until the endpoint serves.
+	BootTime time.Duration
+	// SpotPrice is the price of a spot endpoint as a share of that of another one; 0 if there are
+	// no spot endpoints.
+	SpotPrice float64
+	// DataCentrePrices are the prices of an endpoint-second by data centre.
+	DataCentrePrices map[string]float64
 }
 
 // Workspace is a tenant. Its requests carry one of its API keys.
--- a/pkg/matcher/matcher.go
+++ b/pkg/matcher/matcher.go
@@ -104,6 +104,17 @@
 	return service, ok
 }
 
+// ScaledServices returns the services whose endpoints are ordered.
+func (m *Matcher) ScaledServices() (scaled []Service) {
+	for _, service := range m.configuration.Services {
+		if service.Scale != nil {
+			scaled = append(scaled, service)
+		}
+	}
+
+	return scaled
+}
+
 // Workspace returns the workspace that an API key belongs to; false if there is none.
 func (m *Matcher) Workspace(key string) (Workspace, bool) {
 	workspace, ok := m.workspacesByKey[key]
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -289,7 +289,13 @@
 	if prefixGroup == 0 || soonest == nil {
 		return soonest
 	}
-	preferred := cheapest(longGroup, func(e *endpoint) float64 { return -float64(rankHash(e.ID, prefixGroup) >> 11) })
+	preferred := cheapest(longGroup, func(e *endpoint) float64 {
+		if e.IsLeaving() {
+			return 1 // Above every other cost: the group's blocks would soon have to be prefilled again.
+		}
+
+		return -float64(rankHash(e.ID, prefixGroup) >> 11)
+	})
 	repeatedPrefill := s.service.prefillTime(max(0, s.missingTokens(soonest)-s.missingTokens(preferred)))
 	if s.longPromptCost(preferred) <= s.longPromptCost(soonest)+repeatedPrefill+minMoveGain {
 		return preferred
--- a/pkg/registrar/registrar.go
+++ b/pkg/registrar/registrar.go
@@ -46,6 +46,15 @@
 	// StartedUnixMs is the time at which this incarnation started, in milliseconds
 	// since the Unix epoch.
 	StartedUnixMs int64
+	// Spot is true if the platform may reclaim the endpoint at short notice.
+	Spot bool
+	// LeavesIn is how long after the listing the endpoint leaves, as its entry states; 0 if unknown.
+	LeavesIn time.Duration
+}
+
+// IsLeaving reports whether the endpoint is known to leave.
+func (e Endpoint) IsLeaving() bool {
+	return e.Draining || e.LeavesIn > 0
 }
 
 // Settings are the time limits of a registrar.
