placer, dispatcher: Measure the demand as wanted, by data centre

What got through never shows that engines are too few. Where the configuration scales a service and the instance was told that endpoints are ordered, postponed prompts and those without any engine count as arrivals, summaries have the total of their data centre, and an instance knows the demand of each data centre with its age.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -130,6 +130,7 @@
 	dataRead            chan struct{} // closed at the next end of a read of the platform
 	storeEpoch          uint64        // the highest epoch of the store that is known
 	onLoadChange        func(endpoint string, load placer.Load)
+	ordersEndpoints     bool // whether instances order endpoints by demand
 }
 
 // New returns a dispatcher without a configuration or endpoints.
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -116,6 +116,9 @@
 		message.Loads, message.Prefills = d.placer.LocalLoads(), d.placer.LocalPrefills(now)
 	}
 	message.Demands = d.placer.LocalDemands(now)
+	if message.IsSummary {
+		d.placer.AddTotals(now, message.Demands)
+	}
 }
 
 // ReceiveMessage records a peer's loads, prefills, demands, suspects and blocks. It does not use the
@@ -126,6 +129,7 @@
 		case message.OmitsLoads:
 		case !message.IsSummary:
 			d.placer.ReceiveLoads(d.clock.Now(), peer, message.Loads, message.Demands)
+			d.placer.SetPeerDataCentre(peer, message.DataCentre)
 		case message.DataCentre != d.dataCentre:
 			d.placer.ReceiveDataCentreLoads(d.clock.Now(), message.DataCentre, message.Loads, message.Demands)
 		}
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -44,6 +44,7 @@
 		if current == nil || configuration.Number() > current.Number() {
 			d.currentMatcher.Store(configuration)
 			d.storedConfiguration = stored
+			d.updateScaledServices()
 			d.logger.Info("Configuration is in force.", "number", configuration.Number(), "age ms", (d.clock.SinceBoot() - sentAt).Milliseconds())
 		}
 		d.confirmLease(sentAt)
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -67,6 +67,7 @@
 		request.Blocked = d.addProtected(now, d.blockedEndpoints(now, request.Tier, mayRequest), request.Tier, mayRequest)
 		placement.Choice, ok = d.placer.Pick(now, request)
 		if !ok {
+			d.placer.RecordUnplaced(now, request)
 			if until := d.placer.BlockedUntil(now, request); !until.IsZero() {
 				placement.RetryAfter = until.Sub(now)
 			}
@@ -75,6 +76,7 @@
 		}
 		if retryAfter, postponed := d.placer.ShouldPostpone(request, placement.Choice); postponed {
 			placement.RetryAfter = retryAfter
+			d.placer.RecordPostponed(now, request, placement.Choice)
 
 			return placement, nil, true
 		}
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -103,6 +103,7 @@
 		message.Demands = append(message.Demands, &gossipwire.Demand{
 			Service: service, Short: float32(demand.ShortPromptEngines), Long: float32(demand.LongPromptEngines),
 			Border: uint32(max(0, demand.Split)), Engines: uint32(max(0, demand.EngineCount)),
+			TotalShort: float32(demand.TotalShort), TotalLong: float32(demand.TotalLong),
 		})
 	}
 }
@@ -200,6 +201,7 @@
 		decoded.Demands[demand.GetService()] = placer.Demand{
 			ShortPromptEngines: float64(demand.GetShort()), LongPromptEngines: float64(demand.GetLong()),
 			Split: int(demand.GetBorder()), EngineCount: int(demand.GetEngines()),
+			TotalShort: float64(demand.GetTotalShort()), TotalLong: float64(demand.GetTotalLong()),
 		}
 	}
 
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -20,6 +20,10 @@
 	// late.
 	isFleetDivided bool
 	sampleCount    uint64 // random samples of engines drawn so far
+	// scaled holds the names of the services whose engines are ordered by demand.
+	scaled map[string]bool
+	// peerDataCentres are those of peers that report their own demands, by peer.
+	peerDataCentres map[string]string
 }
 
 // inFlightRequest is a local request that was sent to an endpoint and has no result
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -214,4 +214,7 @@
 	// Split is the number of engines that the reporting instance assigns to the
 	// short group, out of EngineCount. EngineCount is zero if it has not decided.
 	Split, EngineCount int
+	// TotalShort and TotalLong are the engines kept busy by the demand of all instances of the
+	// reporting instance's data centre; only in summaries, for scaled services.
+	TotalShort, TotalLong float64
 }
