--- a/internal/lab/simulator/fleet.go
+++ b/internal/lab/simulator/fleet.go
@@ -84,6 +84,7 @@
 	lastSequenceID   uint64
 	prefilledBlocks  map[uint64]bool // blocks that any engine has been sent to prefill
 	outcome          Outcome
+	drawInstance     func() int // returns the instance that gets the next request
 }
 
 // contact is what an instance knows of a peer.
@@ -113,6 +114,7 @@
 
 func newFleet(policy Policy, size Size, seed uint64) *Fleet {
 	f := &Fleet{size: size, random: rand.New(rand.NewPCG(seed, secondPCGSeed)), now: time.Unix(1000, 0), policy: policy, prefilledBlocks: map[uint64]bool{}, summaryAt: map[summaryKey]time.Time{}}
+	f.drawInstance = func() int { return f.random.IntN(len(f.instances)) }
 	for i := range size.Engines {
 		f.engines = append(f.engines, newEngine(f.now, size.Slots))
 		f.endpoints = append(f.endpoints, registrar.Endpoint{
@@ -312,11 +314,14 @@
 func (f *Fleet) sendLoads(sender, receiver int, fleet spreader.Fleet) {
 	from, to := f.instances[sender], f.instances[receiver]
 	sharesEngines := fleet.SharesEngines(f.isLocal(sender, receiver))
+	demands := from.LocalDemands(f.now)
 	if sharesEngines {
-		to.ReceiveLoads(f.now, instanceName(sender), from.LocalLoads(), from.LocalDemands(f.now))
+		to.SetPeerDataCentre(instanceName(sender), f.dataCentre(sender))
+		to.ReceiveLoads(f.now, instanceName(sender), from.LocalLoads(), demands)
 		to.ReceivePrefills(f.now, from.LocalPrefills(f.now), f.isLocal(sender, receiver))
 	} else {
-		to.ReceiveDataCentreLoads(f.now, f.dataCentre(sender), from.DataCentreLoads(), from.LocalDemands(f.now))
+		from.AddTotals(f.now, demands)
+		to.ReceiveDataCentreLoads(f.now, f.dataCentre(sender), from.DataCentreLoads(), demands)
 		to.ReceivePrefills(f.now, from.DataCentrePrefills(f.now), false)
 	}
 }
--- a/internal/lab/simulator/request.go
+++ b/internal/lab/simulator/request.go
@@ -44,7 +44,7 @@
 // engine that refuses it or the connection is avoided in the next attempt.
 func (f *Fleet) submit(request placer.Request, outputTokens int, isLong bool) {
 	f.requestCount++
-	instance := f.random.IntN(len(f.instances))
+	instance := f.drawInstance()
 	for range maxAttempts {
 		f.lastSequenceID++
 		s := &sequence{
@@ -110,6 +110,8 @@
 		return 0, nil, false
 	}
 	if _, postponed := p.ShouldPostpone(request, choice); postponed {
+		p.RecordPostponed(f.now, request, choice)
+
 		return 0, nil, false
 	}
 	p.RecordSent(f.now, s.id, choice, request)
