autoscaler: Count no endpoint twice in a step of reductions

Data centres that reduced in the same step each saw the endpoints that another had just ordered away, so 39 were left for a demand that needs 40 after the loss of a quarter (new test). What is ordered away does not count now. Demands that cannot be are not used, and an unknown one orders at most the minimum (test: 6 spot endpoints were ordered beside 60 regular ones).

--- a/pkg/autoscaler/autoscaler.go
+++ b/pkg/autoscaler/autoscaler.go
@@ -60,6 +60,7 @@
 	s.limits = observation.Limits
 	isComplete := len(observation.DataCentres) > 0
 	for _, observed := range observation.DataCentres {
+		observed.HasDemand = observed.HasDemand && isPlausible(observed.Demand) && isPlausible(observed.Critical)
 		d := s.dataCentres[observed.Name]
 		if d == nil {
 			d = &dataCentre{}
@@ -76,6 +77,14 @@
 	a.decide(now, s)
 }
 
+// maxDemand is a demand that no fleet has. Reports come from other instances.
+const maxDemand = 1e6
+
+// isPlausible reports whether a number can be a demand.
+func isPlausible(demand float64) bool {
+	return demand >= 0 && demand <= maxDemand // false for NaN
+}
+
 // observeDataCentre records what is known of a data centre.
 func (a *Autoscaler) observeDataCentre(now time.Time, s *service, d *dataCentre, observed DataCentre) {
 	if observed.Spot == 0 && observed.LeavingSpot > 0 && d.spot.wanted > 0 {
--- a/pkg/autoscaler/autoscaler_test.go
+++ b/pkg/autoscaler/autoscaler_test.go
@@ -1,6 +1,7 @@
 package autoscaler_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	counts  map[bool]map[string]int // by kind and data centre
 	pending []pendingOrder
 	noSpot  map[string]bool
+	shareA  float64 // of the demand, in data centre a
 }
 
 type pendingOrder struct {
@@ -30,14 +32,14 @@
 }
 
 func newCloud(regular int) *cloud {
-	return &cloud{counts: map[bool]map[string]int{false: {"a": regular, "b": regular, "c": regular}, true: {}}, noSpot: map[string]bool{}}
+	return &cloud{counts: map[bool]map[string]int{false: {"a": regular, "b": regular, "c": regular}, true: {}}, noSpot: map[string]bool{}, shareA: 1. / 3}
 }
 
 func (c *cloud) observation(demand float64, age time.Duration) autoscaler.Observation {
 	o := autoscaler.Observation{Service: "s", Limits: limits}
-	for _, name := range []string{"a", "b", "c"} {
+	for name, share := range map[string]float64{"a": c.shareA, "b": (1 - c.shareA) / 2, "c": (1 - c.shareA) / 2} {
 		o.DataCentres = append(o.DataCentres, autoscaler.DataCentre{
-			Name: name, Demand: demand / 3, Critical: demand / 6, DemandAge: age, HasDemand: true, Regular: c.counts[false][name], Spot: c.counts[true][name],
+			Name: name, Demand: share * demand, Critical: share * demand / 2, DemandAge: age, HasDemand: true, Regular: c.counts[false][name], Spot: c.counts[true][name],
 		})
 	}
 
@@ -86,6 +88,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		a, c := autoscaler.New(settings), newCloud(rapid.IntRange(5, 40).Draw(t, "initial"))
 		demand := rapid.Float64Range(3, 60).Draw(t, "demand")
+		c.shareA = rapid.Float64Range(0, 0.9).Draw(t, "share of a")
 		faults := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 40).Draw(t, "faults")
 		now, n := start, 0
 		for ; now.Before(start.Add(60 * time.Second)); now = now.Add(interval) {
@@ -158,14 +161,20 @@
 	assert.Assert(t, regular <= 10 && spot <= 12, "%d and %d", regular, spot)
 }
 
-// Guards against numbers that change by a demand that is no longer known.
-func TestOldDemandKeepsNumbers(t *testing.T) {
-	a, c := autoscaler.New(settings), newCloud(20)
-	for now := start; now.Before(start.Add(5 * time.Minute)); now = now.Add(interval) {
-		c.step(a, now, c.observation(3, settings.MaxDemandAge+1), accept)
+// Guards against numbers that change by a demand that is no longer known, or that no fleet has.
+func TestUnknownDemandKeepsNumbers(t *testing.T) {
+	for _, demand := range []float64{3, math.NaN(), math.Inf(1), -1} {
+		a, c := autoscaler.New(settings), newCloud(20)
+		for now := start; now.Before(start.Add(5 * time.Minute)); now = now.Add(interval) {
+			age := time.Duration(0)
+			if demand == 3 {
+				age = settings.MaxDemandAge + 1
+			}
+			c.step(a, now, c.observation(demand, age), accept)
+		}
+		regular, spot := c.total()
+		assert.Assert(t, regular == 60 && spot == 0, "%d and %d for %f", regular, spot, demand)
 	}
-	regular, _ := c.total()
-	assert.Equal(t, regular, 60)
 }
 
 // Guards against a data centre without spot endpoints being left with too few, and against asking for
@@ -188,3 +197,46 @@
 	assert.Assert(t, regular >= 44 && spot == 0, "%d and %d", regular, spot)
 	assert.Assert(t, refused <= 9, "%d orders of spot endpoints", refused)
 }
+
+// Guards against removing regular endpoints before the spot ones that replace them serve, and against
+// reducing on while a reduction may still be executed.
+func TestReductionsWaitForReplacementsAndDoubtfulOrders(t *testing.T) {
+	a, c := autoscaler.New(settings), newCloud(20)
+	for now := start; now.Before(start.Add(3 * time.Minute)); now = now.Add(interval) {
+		c.step(a, now, c.observation(30, 0), func(o autoscaler.Order) (autoscaler.Outcome, bool, time.Duration) { return autoscaler.Done, !o.Spot, 0 })
+	}
+	regular, _ := c.total()
+	assert.Assert(t, regular >= 40, "%d", regular)
+
+	a, c = autoscaler.New(settings), newCloud(20)
+	reductions := 0
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(interval) {
+		c.step(a, now, c.observation(3, 0), func(o autoscaler.Order) (autoscaler.Outcome, bool, time.Duration) {
+			if o.Count < o.Registered {
+				reductions++
+
+				return autoscaler.InDoubt, false, 0
+			}
+
+			return accept(o)
+		})
+	}
+	assert.Assert(t, reductions > 0 && reductions <= 3*4, "%d reductions", reductions)
+}
+
+// Guards against a burst for which most endpoints are spot ones of one data centre.
+func TestBurstIsServedWithoutTheSpotEndpointsOfAnyDataCentre(t *testing.T) {
+	a, c := autoscaler.New(settings), newCloud(4)
+	c.shareA = 0.5
+	for now := start; now.Before(start.Add(32 * time.Second)); now = now.Add(interval) {
+		demand := 12.0
+		if now.After(start.Add(30 * time.Second)) {
+			demand = 60
+		}
+		c.step(a, now, c.observation(demand, 0), accept)
+	}
+	regular, spot := c.total()
+	for name, lost := range c.counts[true] {
+		assert.Assert(t, float64(regular+spot-lost) >= 60, "%d and %d without %d of %s", regular, spot, lost, name)
+	}
+}
--- a/pkg/autoscaler/plan.go
+++ b/pkg/autoscaler/plan.go
@@ -53,6 +53,9 @@
 // localTarget returns what a data centre needs for its own demand. Callers are served from there
 // first, and only what is needed beyond goes where it costs least.
 func (p *plan) localTarget(d *dataCentre, peak second) (t target) {
+	if !d.history.hasMeans {
+		return target{regular: p.limits.Min}
+	}
 	t.regular = int(math.Ceil(max(p.settings.CriticalMargin*peak.critical, p.settings.RegularShare*d.history.mean)))
 	total := int(math.Ceil(p.settings.Margin * peak.demand))
 	total = min(max(total, t.regular, p.limits.Min), p.limits.Max)
@@ -173,8 +176,9 @@
 func (p *plan) holds(removed int, from *dataCentre, isSpot bool) bool {
 	ready, mostSpot := -removed, 0
 	for _, d := range p.dataCentres {
-		ready += d.Regular + d.Spot
-		spot := d.Spot
+		// What has been ordered away in this step or may not show yet does not count.
+		spot := min(d.Spot, d.spot.wanted)
+		ready += min(d.Regular, d.regular.wanted) + spot
 		if isSpot && d == from {
 			spot -= removed
 		}
