--- a/pkg/autoscaler/autoscaler.go
+++ b/pkg/autoscaler/autoscaler.go
@@ -28,6 +28,7 @@
 
 	history        history
 	regular, spot  count
+	planned        target // by the last plan
 	noSpotUntil    time.Time
 	lastReductions time.Time
 }
@@ -113,7 +114,7 @@
 func (a *Autoscaler) decide(now time.Time, s *service) {
 	p := a.newPlan(now, s)
 	for _, d := range p.dataCentres {
-		target := p.targets[d.Name]
+		target := d.planned
 		// Spot endpoints are only ordered where regular ones leave room for them.
 		regular := max(d.regular.wanted, target.regular)
 		d.regular.wanted = min(regular, max(s.limits.Max, d.regular.wanted))
@@ -137,7 +138,7 @@
 // reduce reduces the more expensive kind of endpoints in a data centre that has more than planned, and
 // reports whether it did.
 func (a *Autoscaler) reduce(now time.Time, p *plan, d *dataCentre) bool {
-	target := p.targets[d.Name]
+	target := d.planned
 	for _, kind := range []struct {
 		count      *count
 		target     int
--- a/pkg/autoscaler/plan.go
+++ b/pkg/autoscaler/plan.go
@@ -13,7 +13,6 @@
 	settings    Settings
 	limits      Limits
 	dataCentres []*dataCentre // by name
-	targets     map[string]target
 	// windowDemand is the highest demand of the window, all data centres together.
 	windowDemand float64
 	mayHaveSpot  func(*dataCentre) bool
@@ -26,7 +25,7 @@
 
 // newPlan returns the plan for a service.
 func (a *Autoscaler) newPlan(now time.Time, s *service) *plan {
-	p := &plan{settings: a.settings, limits: s.limits, targets: map[string]target{}}
+	p := &plan{settings: a.settings, limits: s.limits}
 	p.mayHaveSpot = func(d *dataCentre) bool {
 		return s.limits.SpotPrice > 0 && s.limits.SpotPrice < 1 && !now.Before(d.noSpotUntil)
 	}
@@ -39,7 +38,7 @@
 		remembered += d.history.peak(now, a.settings.PeakMemory).demand
 		mean += d.history.mean
 		ready += d.Regular + d.Spot
-		p.targets[name] = p.localTarget(d, peak)
+		d.planned = p.localTarget(d, peak)
 	}
 	needed := p.windowDemand / (1 - a.settings.LossShare)
 	missing := max(0, p.windowDemand-float64(ready)) * a.settings.ColdShare
@@ -71,8 +70,8 @@
 
 // total returns the planned endpoints of all data centres.
 func (p *plan) total() (total int) {
-	for _, t := range p.targets {
-		total += t.regular + t.spot
+	for _, d := range p.dataCentres {
+		total += d.planned.regular + d.planned.spot
 	}
 
 	return total
@@ -95,7 +94,7 @@
 	lowest := math.Inf(1)
 	isSpot := false
 	for _, d := range p.dataCentres {
-		t := p.targets[d.Name]
+		t := d.planned
 		if d.Name == excluded || t.regular+t.spot >= p.limits.Max {
 			continue
 		}
@@ -112,13 +111,11 @@
 	if best == nil {
 		return false
 	}
-	t := p.targets[best.Name]
 	if isSpot {
-		t.spot++
+		best.planned.spot++
 	} else {
-		t.regular++
+		best.planned.regular++
 	}
-	p.targets[best.Name] = t
 
 	return true
 }
@@ -133,7 +130,7 @@
 func (p *plan) coverLossOfSpot() {
 	needed := int(math.Ceil(p.settings.Margin * p.windowDemand))
 	for _, d := range p.dataCentres {
-		for p.total()-p.targets[d.Name].spot < needed {
+		for p.total()-d.planned.spot < needed {
 			if p.add(false, d.Name) {
 				continue
 			}
@@ -147,26 +144,24 @@
 // addRegular adds a regular endpoint where it costs least, and reports whether there was room.
 func (p *plan) addRegular() bool {
 	candidates := slices.DeleteFunc(slices.Clone(p.dataCentres), func(d *dataCentre) bool {
-		return p.targets[d.Name].regular+p.targets[d.Name].spot >= p.limits.Max
+		return d.planned.regular+d.planned.spot >= p.limits.Max
 	})
 	if len(candidates) == 0 {
 		return false
 	}
 	d := slices.MinFunc(candidates, func(a, b *dataCentre) int { return cmp.Compare(p.price(a), p.price(b)) })
-	t := p.targets[d.Name]
-	t.regular++
-	p.targets[d.Name] = t
+	d.planned.regular++
 
 	return true
 }
 
 // replaceSpot replaces a spot endpoint of a data centre without room by a regular one.
 func (p *plan) replaceSpot(d *dataCentre) bool {
-	t := p.targets[d.Name]
-	if t.spot == 0 {
+	if d.planned.spot == 0 {
 		return false
 	}
-	p.targets[d.Name] = target{t.regular + 1, t.spot - 1}
+	d.planned.regular++
+	d.planned.spot--
 
 	return true
 }
