--- a/pkg/placer/wanted.go
+++ b/pkg/placer/wanted.go
@@ -22,7 +22,9 @@
 	for _, name := range names {
 		p.scaled[name] = true
 	}
-	p.peerDataCentres = map[string]string{}
+	if p.peerDataCentres == nil {
+		p.peerDataCentres = map[string]string{}
+	}
 }
 
 // SetPeerDataCentre records the data centre of a peer that reports its own demand.
