--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -376,3 +376,10 @@
 		<-d.Done()
 	})
 }
+
+// Guards against a holder that orders endpoints by another demand than a data centre's.
+func TestDemandArrivesAsItWasSent(t *testing.T) {
+	demand := placer.Demand{ShortPromptEngines: 1, LongPromptEngines: 2, Split: 3, EngineCount: 4, TotalShort: 5, TotalLong: 6}
+	received := gossiper.ReceivedLoads(dispatcher.Message{Demands: map[string]placer.Demand{"s": demand}})
+	assert.Equal(t, received.Demands["s"], demand)
+}
