--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -86,6 +86,7 @@
 	currentMatcher atomic.Pointer[matcher.Matcher]
 	instanceCount  atomic.Int64
 	peerReaches    atomic.Pointer[[]PeerReach]
+	members        atomic.Pointer[[]string]
 	reach          atomic.Pointer[reachSummary]
 	sharedLease    atomic.Pointer[freshener.Lease] // a copy of lease for other goroutines
 
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -246,6 +246,7 @@
 func (d *Dispatcher) SetFleet(fleet Fleet) {
 	d.instanceCount.Store(int64(fleet.InstanceCount))
 	d.peerReaches.Store(&fleet.PeerReaches)
+	d.members.Store(&fleet.Members)
 	d.withState(func() {
 		d.repeatLimiter.SetInstanceCount(fleet.InstanceCount)
 		d.rank = fleet.Rank
@@ -260,6 +261,15 @@
 	})
 }
 
+// Members returns the sorted names of the live instances that are not leaving.
+func (d *Dispatcher) Members() []string {
+	if members := d.members.Load(); members != nil {
+		return *members
+	}
+
+	return nil
+}
+
 // LocalShare returns this instance's equal share of a limit that all instances keep together;
 // at least 1.
 func (d *Dispatcher) LocalShare(limit int) int {
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -1,6 +1,7 @@
 package leaser
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 )
@@ -39,6 +40,18 @@
 	// PollInterval is the time between the reads of an instance that does not hold
 	// the lease.
 	PollInterval time.Duration
+	// RetryDelay and CallTimeout replace the constants of the same names.
+	RetryDelay, CallTimeout time.Duration
+	// FenceFromVersion makes the fencing token of a term the version of the write that acquired the
+	// lease, with the store's epoch in the upper bits. The store gives each version out once, so no
+	// two terms have the same token, even if the object was deleted or a write was executed late.
+	FenceFromVersion bool
+	// HolderName is the name of the instance, which is the same at each start of it. With a name, an
+	// instance does not acquire a lease again in which others acted within the duration since it did.
+	HolderName string
+	// WaitIfAbsent delays the first acquisition for the duration if there is no object. It may have
+	// been deleted while another instance holds the lease.
+	WaitIfAbsent bool
 }
 
 // WithDefaults returns the settings with zero durations replaced by the defaults.
@@ -52,6 +65,8 @@
 	if s.PollInterval == 0 {
 		s.PollInterval = DefaultPollInterval
 	}
+	s.RetryDelay = cmp.Or(s.RetryDelay, RetryDelay)
+	s.CallTimeout = cmp.Or(s.CallTimeout, CallTimeout)
 	return s
 }
 
@@ -64,6 +79,8 @@
 	// latestSeenAt when it was first seen, by the local clock.
 	latest       StoredLease
 	latestSeenAt time.Time
+	// absentSince is when the object was first found missing; zero if it was seen.
+	absentSince time.Time
 
 	// confirmedWriteSentAt is when the last confirmed write of this instance was
 	// sent; expiresAt is when the lease that it gave ends, less the drift margin.
@@ -79,6 +96,7 @@
 	callInFlight    bool            // A call to the store has no result yet.
 	nextCallAt      time.Time       // Time of the next call or, with callInFlight, at which that call counts as lost.
 	payloadOverride json.RawMessage // Payload of the following writes; nil keeps the stored one.
+	payloadNumber   uint64          // Calls of SetPayload so far.
 	released        bool
 }
 
@@ -88,6 +106,8 @@
 	sequence uint64
 	sentAt   time.Time
 	fence    uint64
+	// isAcquisition is true if the write does not renew a lease that is held.
+	isAcquisition bool
 }
 
 // New returns a Leaser that does not hold the lease. The first call of Tick starts
@@ -109,6 +129,12 @@
 // Payload returns the payload of the newest known version of the lease object.
 func (l *Leaser) Payload() json.RawMessage { return l.latest.Lease.Payload }
 
+// IsPayloadLost reports whether what earlier holders stored may be lost.
+func (l *Leaser) IsPayloadLost() bool { return l.latest.Lease.PayloadLost }
+
+// ConfirmedAt returns when the last confirmed write of the lease was sent.
+func (l *Leaser) ConfirmedAt() time.Time { return l.confirmedWriteSentAt }
+
 // HighestFence returns the highest fencing token known to this instance.
 func (l *Leaser) HighestFence() uint64 { return max(l.fence, l.reportedFence, l.latest.Lease.Fence) }
 
@@ -125,8 +151,12 @@
 
 // SetPayload sets the payload of the following writes; nil keeps the stored one. It is
 // discarded when the lease has been lost and is acquired again. Flush starts such a
-// write at once.
-func (l *Leaser) SetPayload(payload json.RawMessage) { l.payloadOverride = payload }
+// write at once. SetPayload returns the number of the call, which writes of the payload state.
+func (l *Leaser) SetPayload(payload json.RawMessage) (number uint64) {
+	l.payloadOverride = payload
+	l.payloadNumber++
+	return l.payloadNumber
+}
 
 // Flush starts the next call to the store without waiting for the renewal interval,
 // so that a new payload is stored early.
@@ -146,7 +176,7 @@
 		return l.startRead(now)
 	}
 	if _, _, held := l.Held(now); held && l.isLastWriteConfirmed() {
-		return l.startWrite(now, l.fence)
+		return l.startWrite(now, l.renewedLease(), false)
 	}
 	return l.startRead(now)
 }
@@ -160,23 +190,32 @@
 // startRead returns a read of the lease object and records that it is in flight.
 func (l *Leaser) startRead(now time.Time) []Action {
 	l.callInFlight = true
-	l.nextCallAt = now.Add(CallTimeout)
+	l.nextCallAt = now.Add(l.settings.CallTimeout)
 	return []Action{Read{Name: l.settings.Name}}
 }
 
-// startWrite returns a write of the lease under the given fencing token and records
-// it as pending.
-func (l *Leaser) startWrite(now time.Time, fence uint64) []Action {
+// startWrite returns a write of the lease and records it as pending.
+func (l *Leaser) startWrite(now time.Time, lease Lease, isAcquisition bool) []Action {
 	l.writeSequence++
-	l.pendingWrites = append(l.pendingWrites, pendingWrite{sequence: l.writeSequence, sentAt: now, fence: fence})
+	lease.WriteSequence, lease.Duration, lease.Epoch = l.writeSequence, l.settings.Duration, l.latest.Epoch
+	l.pendingWrites = append(l.pendingWrites, pendingWrite{sequence: l.writeSequence, sentAt: now, fence: lease.Fence, isAcquisition: isAcquisition})
 	l.pendingWrites = l.pendingWrites[max(0, len(l.pendingWrites)-MaxPendingWrites):]
 	l.callInFlight = true
-	l.nextCallAt = now.Add(CallTimeout)
-	lease := Lease{
-		HolderID: l.settings.HolderID, Fence: fence, WriteSequence: l.writeSequence,
-		Duration: l.settings.Duration, Payload: l.payloadToWrite(),
+	l.nextCallAt = now.Add(l.settings.CallTimeout)
+	write := Write{Name: l.settings.Name, Lease: lease, Version: l.latest.Version}
+	if l.payloadOverride != nil {
+		write.PayloadNumber = l.payloadNumber
+	}
+	return []Action{write}
+}
+
+// renewedLease returns the lease that the holder writes to renew it.
+func (l *Leaser) renewedLease() Lease {
+	return Lease{
+		HolderID: l.settings.HolderID, Fence: l.fence, Payload: l.payloadToWrite(),
+		PayloadLost: l.latest.Lease.PayloadLost && l.payloadOverride == nil,
+		HolderName:  l.settings.HolderName, RecentNames: l.latest.Lease.RecentNames,
 	}
-	return []Action{Write{Name: l.settings.Name, Lease: lease, Version: l.latest.Version}}
 }
 
 // payloadToWrite returns the payload that was set, or else the stored one.
--- a/pkg/leaser/results.go
+++ b/pkg/leaser/results.go
@@ -13,10 +13,10 @@
 	return l.acquireOrRenew(now)
 }
 
-// OnReadFailed handles a failed read: the store is called again after RetryDelay.
+// OnReadFailed handles a failed read: the store is called again after the retry delay.
 func (l *Leaser) OnReadFailed(now time.Time) {
 	l.callInFlight = false
-	l.nextCallAt = now.Add(RetryDelay)
+	l.nextCallAt = now.Add(l.settings.RetryDelay)
 }
 
 // OnWritten handles a successful write that created the given version.
@@ -53,7 +53,7 @@
 	if !inDoubt {
 		l.dropPendingWrite(write.Lease.WriteSequence)
 	}
-	l.nextCallAt = now.Add(RetryDelay)
+	l.nextCallAt = now.Add(l.settings.RetryDelay)
 }
 
 // dropPendingWrite forgets a write that did not take effect.
@@ -73,7 +73,8 @@
 		return nil
 	}
 	l.writeSequence++
-	lease := Lease{Fence: l.fence, WriteSequence: l.writeSequence, Duration: l.settings.Duration, Payload: l.payloadToWrite()}
+	lease := l.renewedLease()
+	lease.HolderID, lease.WriteSequence, lease.Duration, lease.Epoch = "", l.writeSequence, l.settings.Duration, l.latest.Epoch
 	return []Action{Write{Name: l.settings.Name, Lease: lease, Version: l.latest.Version}}
 }
 
@@ -84,9 +85,12 @@
 		l.recordDeletion(now)
 		return
 	}
-	if stored.Version <= l.latest.Version {
+	if stored.Epoch < l.latest.Epoch || (stored.Epoch == l.latest.Epoch && stored.Version <= l.latest.Version) {
 		return
 	}
+	if l.latest.Version > 0 {
+		l.reportedFence = max(l.reportedFence, l.latest.Lease.Fence) // That of a restored copy may be lower.
+	}
 	l.latest, l.latestSeenAt = stored, now
 	heldLocally := stored.Lease.HolderID == l.settings.HolderID
 	for _, pending := range l.pendingWrites {
@@ -108,12 +112,19 @@
 	if l.latest.Version > 0 {
 		l.latest.Version, l.latestSeenAt = 0, now
 	}
+	if l.absentSince.IsZero() {
+		l.absentSince = now
+	}
 }
 
 // setHeld marks the lease as held by a write that took effect, counting its duration
 // from when the write was sent.
 func (l *Leaser) setHeld(w pendingWrite) {
 	l.fence = w.fence
+	if w.isAcquisition && l.settings.FenceFromVersion {
+		// The version is higher unless the store came back from a copy and states no epoch.
+		l.fence = max(l.latest.versionFence(), l.reportedFence+1, l.latest.Lease.Fence+1)
+	}
 	l.confirmedWriteSentAt = w.sentAt
 	l.expiresAt = w.sentAt.Add(l.settings.Duration - l.settings.Duration/DriftMarginDivisor)
 }
@@ -125,19 +136,44 @@
 		return nil
 	}
 	l.scheduleNextCall(now)
-	if fence, _, held := l.Held(now); held {
+	if _, _, held := l.Held(now); held {
 		if now.Before(l.nextCallAt) {
 			return nil
 		}
-		return l.startWrite(now, fence)
+		return l.startWrite(now, l.renewedLease(), false)
 	}
 	if l.canAcquire(now) {
 		l.payloadOverride = nil // The last holder's payload is newer than the one set here.
-		return l.startWrite(now, l.HighestFence()+1)
+		return l.startWrite(now, l.acquiredLease(now), true)
 	}
 	return nil
 }
 
+// maxRecentNames is the number of names of recent holders that are kept. More releases within one
+// duration are not expected; a holder that is no longer named may then return early.
+const maxRecentNames = 8
+
+// acquiredLease returns the lease that is written to acquire it.
+func (l *Leaser) acquiredLease(now time.Time) Lease {
+	last := l.latest.Lease
+	lease := Lease{HolderID: l.settings.HolderID, Fence: l.HighestFence() + 1, Payload: last.Payload, HolderName: l.settings.HolderName}
+	if l.settings.FenceFromVersion {
+		lease.Fence = l.HighestFence() // The token of this term is known once the write is confirmed.
+		lease.PayloadLost = l.latest.Version == 0 || last.PayloadLost || last.Epoch != l.latest.Epoch
+	}
+	if l.settings.HolderName == "" {
+		return lease
+	}
+	if now.Before(l.latestSeenAt.Add(last.Duration)) {
+		lease.RecentNames = slices.Clone(last.RecentNames)
+	}
+	if last.HolderName != "" && last.HolderName != l.settings.HolderName {
+		lease.RecentNames = append(lease.RecentNames, last.HolderName)
+	}
+	lease.RecentNames = lease.RecentNames[max(0, len(lease.RecentNames)-maxRecentNames):]
+	return lease
+}
+
 // scheduleNextCall sets the time of the next call to the store: the renewal if this
 // instance holds the lease, or else the next poll or the end of the current holder's
 // lease, whichever comes first.
@@ -150,13 +186,20 @@
 	if leaseEnd := l.latestSeenAt.Add(l.latest.Lease.Duration); leaseEnd.After(now) && leaseEnd.Before(l.nextCallAt) {
 		l.nextCallAt = leaseEnd
 	}
+	if absenceEnd := l.absentSince.Add(l.settings.Duration); l.latest.Version == 0 && absenceEnd.After(now) && absenceEnd.Before(l.nextCallAt) {
+		l.nextCallAt = absenceEnd
+	}
 }
 
 // canAcquire reports whether no other instance can still hold the lease: it was
 // released, was last held by this process, or was not renewed for its duration.
 func (l *Leaser) canAcquire(now time.Time) bool {
 	lease := l.latest.Lease
-	if lease.IsReleased() || lease.HolderID == l.settings.HolderID {
+	if l.latest.Version == 0 && l.latestSeenAt.IsZero() {
+		return !l.settings.WaitIfAbsent || !now.Before(l.absentSince.Add(l.settings.Duration))
+	}
+	isRecent := l.settings.HolderName != "" && lease.HolderName != l.settings.HolderName && slices.Contains(lease.RecentNames, l.settings.HolderName)
+	if lease.HolderID == l.settings.HolderID || (lease.IsReleased() && !isRecent) {
 		return true
 	}
 	return !now.Before(l.latestSeenAt.Add(lease.Duration))
