usagereporter, usagecounter: Report the usage of workspaces once for each window

Instances now count the requests that endpoints began, send the counts once a second to the two candidates of the duty, and the holder closes each window once, stores its counts with the lease and reports them. Nothing is sent without the settings of duties.

--- a/internal/gossiper/datagram.go
+++ b/internal/gossiper/datagram.go
@@ -112,7 +112,8 @@
 	}
 }
 
-// ReceiveDatagram processes a datagram that begins an exchange or answers one. Others it ignores.
+// ReceiveDatagram processes a datagram that begins an exchange, answers one or has counts
+// of usage. Others it ignores.
 func (g *Gossiper) ReceiveDatagram(message *gossipwire.Message) {
 	switch {
 	case message.GetAsks() != 0:
@@ -130,6 +131,8 @@
 		if ok {
 			exchange.finish(message)
 		}
+	case len(message.GetUsage()) > 0:
+		g.receiveUsage(message)
 	}
 }
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -93,6 +93,7 @@
 	logger     hclog.Logger
 	handler    http.Handler
 	datagrams  DatagramSender // nil if exchanges are calls
+	usage      UsageReceiver  // nil if usage is not reported
 	done       chan struct{}
 
 	mu         sync.Mutex
@@ -323,6 +324,7 @@
 	if !g.recordSender(now, message) {
 		return false
 	}
+	g.receiveUsage(message)
 	g.AddAddresses(message.GetMembers())
 	g.recordHeard(now, message.GetHeard())
 	if message.GetSummary() && !message.GetBrief() {
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -71,6 +71,9 @@
 		EndpointsAgeMs: toMilliseconds(state.Versions.EndpointsAge),
 		EndpointsEpoch: state.Versions.EndpointsEpoch,
 	}
+	if g.usage != nil {
+		message.ClockMs = g.usage.TimeOfDay().Milliseconds()
+	}
 	message.Members = missingMembers(recipientAddressCount, known.live)
 	if includeLoads {
 		addLoads(message, state)
--- a/internal/notifier/notifier.go
+++ b/internal/notifier/notifier.go
@@ -238,7 +238,7 @@
 
 // deliver passes a datagram on to the part that uses it.
 func (n *Notifier) deliver(message *gossipwire.Message) {
-	if message.GetAsks() != 0 || message.GetAnswers() != 0 {
+	if message.GetAsks() != 0 || message.GetAnswers() != 0 || len(message.GetUsage()) > 0 {
 		n.exchanger.ReceiveDatagram(message)
 
 		return
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -53,6 +53,7 @@
 	stop               atomic.Pointer[plannedStop] // nil if there is none
 	durations          *routeDurations
 	inFlight           atomic.Int64
+	usage              UsageCounter // nil if requests are not counted
 }
 
 // New returns a handler that sends requests to endpoints on connections, or passes them on to
@@ -138,6 +139,7 @@
 	isPassedOn       bool // a peer sent the request, which reaches no endpoint
 	hasOfferedPeers  bool // no peer took the request
 	isAbandoned      bool // the answer could not be written to the caller
+	isCounted        bool // as a request that an endpoint began to run
 	isServed         bool // the whole answer of an endpoint was forwarded
 }
 
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -39,6 +39,7 @@
 	case r.answerStarted:
 		r.failAttempt(ctx, a, errors.Errorf("status %d instead of further events", a.response.StatusCode))
 	default:
+		r.countAnswered(a, metadata)
 		r.forwardBuffered(ctx, a)
 	}
 }
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -71,6 +71,7 @@
 		r.beginStream(a)
 		a.stallDetector.restart(r.placementRequest.Version)
 		now := time.Now()
+		r.countRun(a, now)
 		if first {
 			r.relayer.dispatcher.RecordFirstEvent(a.placement)
 			lastReported = now
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -18,7 +18,6 @@
 	"github.com/oleanderpick/oleanderpick/internal/announcer"
 	"github.com/oleanderpick/oleanderpick/internal/archiver"
 	"github.com/oleanderpick/oleanderpick/internal/chronicler"
-	"github.com/oleanderpick/oleanderpick/internal/common/clock"
 	"github.com/oleanderpick/oleanderpick/internal/configurer"
 	"github.com/oleanderpick/oleanderpick/internal/connector"
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
@@ -27,6 +26,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/notifier"
 	"github.com/oleanderpick/oleanderpick/internal/relayer"
 	"github.com/oleanderpick/oleanderpick/internal/storer"
+	"github.com/oleanderpick/oleanderpick/internal/usagereporter"
 	"github.com/oleanderpick/oleanderpick/internal/watcher"
 )
 
@@ -71,6 +71,8 @@
 	// ReadyPath is the path at which the load balancer asks whether the instance is
 	// ready.
 	ReadyPath string
+	// Cloud is the format of the cloud API.
+	Cloud CloudFormat
 }
 
 // Runner is one relaying instance.
@@ -85,6 +87,7 @@
 	peerConnections     *connector.Connector // for requests that are passed on
 	counters            *meter.Meter
 	callerConnections   *connectionTracker
+	usage               *usagereporter.Reporter // nil if usage is not reported
 	supervisor          *suture.Supervisor
 	callerServer        *http.Server
 	callerListener      net.Listener
@@ -94,6 +97,7 @@
 	isStopping          atomic.Bool
 	// stopTimeoutNs is the longest time of a planned stop, in nanoseconds.
 	stopTimeoutNs   atomic.Int64
+	incarnation     uint64        // of this start
 	listening       chan struct{} // closed once listenAddresses is set
 	listenAddresses listenAddresses
 	done            chan struct{}
@@ -105,45 +109,11 @@
 	callers, status, peers string
 }
 
-// Host is what an instance uses of the machine that it runs on.
-type Host struct {
-	// Listen opens a listener for TCP connections.
-	Listen func(ctx context.Context, address string) (net.Listener, error)
-	// Dial connects to the platform and to peers, and DialEndpoint to endpoints.
-	Dial, DialEndpoint connector.DialFunc
-	// SinceBoot reads a clock that also counts suspended time.
-	SinceBoot func() time.Duration
-}
-
-// NewHost returns the machine's network and clock.
-func NewHost() Host {
-	return Host{
-		Listen: func(ctx context.Context, address string) (net.Listener, error) {
-			var config net.ListenConfig
-
-			return config.Listen(ctx, "tcp", address)
-		},
-		Dial:         (&net.Dialer{}).DialContext,
-		DialEndpoint: connector.NewDialFunc(connector.DefaultSettings()),
-		SinceBoot:    clock.SinceBoot,
-	}
-}
-
-// dialWithin returns the host's Dial with a timeout.
-func (h Host) dialWithin(timeout time.Duration) connector.DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-
-		return h.Dial(ctx, network, address)
-	}
-}
-
 // New returns an instance that is ready to run. Run starts it.
 func New(settings configurer.RelaySettings, platform Platform, host Host, logger hclog.Logger) *Runner {
 	limitMemory(settings.MemoryLimitMB)
 	counters := meter.New()
-	r := &Runner{settings: settings, host: host, logger: logger.Named("runner"), listening: make(chan struct{}), done: make(chan struct{})}
+	r := &Runner{settings: settings, host: host, logger: logger.Named("runner"), incarnation: uint64(time.Now().UnixNano()), listening: make(chan struct{}), done: make(chan struct{})}
 	r.stopTimeoutNs.Store(int64(settings.StopTimeout))
 	r.dispatcher = dispatcher.New(dispatcherSettings(settings), dispatcher.Clock{Now: time.Now, SinceBoot: host.SinceBoot}, logger.Named("dispatcher"))
 	r.endpointConnections = connector.New(connector.DefaultSettings(), host.DialEndpoint)
@@ -183,7 +153,8 @@
 	blockArchiver := archiver.New(archiver.Settings{
 		Kind: platform.Decoder.QuarantineKind(), CheckInterval: archiver.DefaultCheckInterval, RewriteInterval: archiver.DefaultRewriteInterval,
 	}, store, r.dispatcher, logger.Named("archiver"))
-	r.buildSupervisor(logger.Named("supervisor"), platformWatcher, instanceAnnouncer, blockArchiver)
+	services := append(r.newDuties(platform.Cloud, store, logger), platformWatcher, instanceAnnouncer, blockArchiver)
+	r.buildSupervisor(logger.Named("supervisor"), services...)
 
 	return r
 }
@@ -222,7 +193,7 @@
 func (r *Runner) newGossiper(decoder gossiper.ConfigurationDecoder, counters *meter.Meter, logger hclog.Logger) *gossiper.Gossiper {
 	settings := gossiper.DefaultSettings()
 	settings.Name, settings.Address, settings.DataCentre = r.settings.Name, r.settings.PeerListen, r.settings.DataCentre
-	settings.Incarnation = uint64(time.Now().UnixNano())
+	settings.Incarnation = r.incarnation
 	settings.Seeds = r.settings.SeedAddresses()
 	client := &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 2,
--- a/internal/relayrunner/stop.go
+++ b/internal/relayrunner/stop.go
@@ -46,6 +46,9 @@
 		r.logger.Warn("Requests in flight are cut off.", "in flight", r.relayer.InFlight(), "error", err)
 		_ = r.callerServer.Close()
 	}
+	if r.usage != nil {
+		r.usage.Send(ctx)
+	}
 	_ = r.statusServer.Close()
 	_ = r.peerServer.Close()
 	_ = r.metricsServer.Close()
