--- a/internal/dutyholder/candidacy.go
+++ b/internal/dutyholder/candidacy.go
@@ -32,8 +32,9 @@
 	apartMemory = 5 * time.Second
 )
 
-// update returns whether this instance tries to hold the duty, and why not.
-func (c *candidacy) update(now time.Duration, members []string) (isCandidate bool, reason string) {
+// update returns whether this instance tries to hold the duty, and why not. isHolder is whether it
+// holds the duty.
+func (c *candidacy) update(now time.Duration, members []string, isHolder bool) (isCandidate bool, reason string) {
 	if !slices.Contains(members, c.settings.Instance) {
 		c.isCandidate, c.chosenSince = false, 0
 
@@ -47,7 +48,8 @@
 
 		return false, "most instances are out of reach"
 	}
-	if slices.Contains(Candidates(c.settings.Duty, members), c.settings.Instance) {
+	rank := slices.Index(Reserve(c.settings.Duty, members), c.settings.Instance)
+	if rank >= 0 && (isHolder || rank < candidateCount) {
 		c.droppedSince = 0
 		if c.chosenSince == 0 {
 			c.chosenSince = now
--- a/internal/dutyholder/holder.go
+++ b/internal/dutyholder/holder.go
@@ -75,6 +75,7 @@
 	leaser    *leaser.Leaser // nil while this instance is no candidate
 	sessions  uint64         // leasers so far
 	current   Term           // as it was logged last; zero if there is none
+	isFailing bool           // the last call of the store failed
 	reason    string         // why the current term ends; empty if its lease runs out
 	confirmAt time.Duration  // a renewal must be sent after it before the term is used again
 	// payloads has a channel for each payload of the current term that is not known to be stored, by
@@ -162,8 +163,9 @@
 }
 
 // SetPayload sets what the next writes under a term store. The returned channel is closed once the
-// payload, or a later one of the term, is stored; it stays open if the term ends before.
-func (h *Holder) SetPayload(fence uint64, payload json.RawMessage) (stored <-chan struct{}) {
+// payload, or a later one of the term, is stored; it stays open if the term ends before. If the
+// payload is urgent, the write does not wait for the renewal of the lease.
+func (h *Holder) SetPayload(fence uint64, payload json.RawMessage, isUrgent bool) (stored <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	waiting := make(chan struct{})
@@ -171,6 +173,9 @@
 		return waiting
 	}
 	h.payloads[h.leaser.SetPayload(payload)] = waiting
+	if isUrgent {
+		h.leaser.Hasten(h.now())
+	}
 
 	return waiting
 }
@@ -218,7 +223,7 @@
 func (h *Holder) tick(ctx context.Context) {
 	members := h.fleet.Members()
 	h.mu.Lock()
-	isCandidate, reason := h.candidacy.update(h.sinceBoot(), members)
+	isCandidate, reason := h.candidacy.update(h.sinceBoot(), members, h.current.Fence != 0)
 	current := h.leaser
 	var actions []leaser.Action
 	switch {
@@ -303,8 +308,8 @@
 		return l.OnRead(h.now(), leaser.StoredLease{})
 	}
 	stored, decodeErr := decode(object)
+	h.logFailure("read", errors.Join(err, decodeErr))
 	if err != nil || decodeErr != nil {
-		h.logger.Info("Cannot read the lease.", "duty", h.settings.Duty, "error", err, "decoding", decodeErr)
 		l.OnReadFailed(h.now())
 
 		return nil
@@ -323,7 +328,8 @@
 	var conflict *storer.ConflictError
 	switch {
 	case err == nil:
-		l.OnWritten(h.now(), write, object.Version)
+		h.isFailing = false
+		l.OnWrittenInEpoch(h.now(), write, object.Version, object.Epoch)
 		if l == h.leaser {
 			h.confirmPayloads(write.PayloadNumber)
 		}
@@ -335,12 +341,20 @@
 			return l.OnWriteConflict(h.now(), write, stored)
 		}
 	}
-	h.logger.Info("Cannot write the lease.", "duty", h.settings.Duty, "error", err)
+	h.logFailure("write", err)
 	l.OnWriteFailed(h.now(), write, errors.Is(err, storer.ErrWriteInDoubt))
 
 	return nil
 }
 
+// logFailure logs the first failure of several calls of the store in a row. The caller holds the mutex.
+func (h *Holder) logFailure(call string, err error) {
+	if err != nil && !h.isFailing {
+		h.logger.Info("Cannot use the lease.", "duty", h.settings.Duty, "call", call, "error", err)
+	}
+	h.isFailing = err != nil
+}
+
 // put writes the lease object if its version is still the expected one.
 func (h *Holder) put(ctx context.Context, write leaser.Write) (storer.Object, error) {
 	spec, err := json.Marshal(write.Lease)
--- a/internal/dutyholder/term.go
+++ b/internal/dutyholder/term.go
@@ -26,13 +26,20 @@
 	EndsAt time.Duration
 }
 
-// candidateCount is the number of instances that try to hold a duty: one that holds it and one that
-// takes over.
-const candidateCount = 2
+const (
+	// candidateCount is the number of instances that try to hold a duty: one that holds it and one
+	// that takes over.
+	candidateCount = 2
+	// reserveCount is the number of instances that have what a holder needs. A holder that is no
+	// candidate any more, since an instance came back, goes on while it is among them, and the next
+	// candidate is one of them.
+	reserveCount = 3
+)
 
-// Candidates returns which of the named live instances try to hold a duty: the first ones by a hash
-// of the names, so that different duties have different holders.
-func Candidates(duty Duty, members []string) []string {
+// Reserve returns which of the named live instances have what the holder of a duty needs: the first
+// ones by a hash of the names, so that different duties have different holders. The first of them
+// are the candidates.
+func Reserve(duty Duty, members []string) []string {
 	rank := func(member string) uint64 {
 		hash := fnv.New64a()
 		_, _ = hash.Write([]byte(string(duty) + "\x00" + member))
@@ -46,5 +53,5 @@
 	ordered := slices.Clone(members)
 	slices.SortFunc(ordered, func(a, b string) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b)) })
 
-	return ordered[:min(candidateCount, len(ordered))]
+	return ordered[:min(reserveCount, len(ordered))]
 }
--- a/internal/usagereporter/term.go
+++ b/internal/usagereporter/term.go
@@ -22,6 +22,7 @@
 	// stores are the payloads that are not known to be stored.
 	stores      []pendingStore
 	nextStoreAt time.Duration
+	isUrgent    bool // a window was closed since the last payload
 	nextCallAt  time.Duration
 	result      chan reportResult // of the call in flight; nil if there is none
 }
@@ -87,7 +88,7 @@
 
 // closeWindows closes the windows whose time has come.
 func (r *Reporter) closeWindows(term dutyholder.Term) {
-	members := r.members()
+	expected := r.expected()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	senders := 0
@@ -96,12 +97,12 @@
 
 		return totals
 	}
-	missing := func(window uint64) []string { return r.collector.Missing(window, members) }
+	missing := func(window uint64) []string { return r.collector.Missing(window, expected) }
 	for _, closed := range r.reports.ledger.Close(r.trueTime(), totals, missing) {
 		totals(closed.Window)
 		r.logger.Info("Window closed.", "window", closed.Window, "requests", closed.Sum(), "workspaces", len(closed.Counts),
 			"instances heard", senders, "missing", missing(closed.Window), "token", term.Fence)
-		r.reports.nextStoreAt = 0
+		r.reports.nextStoreAt, r.reports.isUrgent = 0, true
 	}
 }
 
@@ -129,7 +130,8 @@
 		return
 	}
 	r.reports.nextStoreAt = now + storeInterval
-	r.reports.stores = append(r.reports.stores, pendingStore{r.holder.SetPayload(term.Fence, payload), next})
+	r.reports.stores = append(r.reports.stores, pendingStore{r.holder.SetPayload(term.Fence, payload, r.reports.isUrgent), next})
+	r.reports.isUrgent = false
 }
 
 // startReport starts the call that reports the oldest window that may be reported.
--- a/internal/usagereporter/usagereporter.go
+++ b/internal/usagereporter/usagereporter.go
@@ -22,7 +22,7 @@
 	Term() (dutyholder.Term, bool)
 	Refused(fence uint64)
 	Payload() (payload json.RawMessage, isComplete bool)
-	SetPayload(fence uint64, payload json.RawMessage) (stored <-chan struct{})
+	SetPayload(fence uint64, payload json.RawMessage, isUrgent bool) (stored <-chan struct{})
 }
 
 // Caller makes the calls of the cloud API.
@@ -55,9 +55,13 @@
 const (
 	// tickInterval is how often a reporter looks what is due.
 	tickInterval = 200 * time.Millisecond
-	// sendInterval is the time between two messages with counts to an instance that collects them.
-	sendInterval = time.Second
-	// joinTime is the time after it became a candidate in which an instance gets the counts of all
+	// sendInterval is the time between two messages with counts to an instance that collects them. A
+	// kill loses the counts since the last one: at most a 200th of a window of 5 s in a fleet of 40
+	// instances. In a smaller fleet, where an instance has a larger share, it is smallInterval.
+	sendInterval  = time.Second
+	smallInterval = 500 * time.Millisecond
+	smallFleet    = 40
+	// joinTime is the time after it began to collect in which an instance gets the counts of all
 	// others. It closes no window within it.
 	joinTime = 2500 * time.Millisecond
 	// firstStartTime is the time after the first start of the whole system within which a missing
@@ -85,6 +89,7 @@
 	// The following are used by Serve only.
 	startedAt      time.Duration            // true time
 	recipients     map[string]time.Duration // since when each collects, since boot
+	memberAt       map[string]time.Duration // when each instance was last a member, since boot
 	collectorSince time.Duration            // since when this instance collects; 0 if it does not
 	nextSendAt     time.Duration
 	reports        termReports
@@ -96,6 +101,7 @@
 		settings: settings, clocks: clocks, members: members, holder: holder, caller: caller, sender: sender, counters: counters, logger: logger,
 		done: make(chan struct{}), clock: usagecounter.NewClock(), counter: usagecounter.NewCounter(settings.Settings),
 		collector: usagecounter.NewCollector(settings.Settings), recipients: map[string]time.Duration{},
+		memberAt: map[string]time.Duration{},
 	}
 }
 
@@ -157,7 +163,7 @@
 		case <-ticker.C:
 			r.updateRecipients()
 			if now := r.clocks.SinceBoot(); now >= r.nextSendAt {
-				r.nextSendAt = now + sendInterval
+				r.nextSendAt = now + r.sendInterval()
 				go r.Send(ctx)
 			}
 			r.report(ctx)
@@ -165,10 +171,23 @@
 	}
 }
 
+// sendInterval returns the time between two messages to an instance that collects counts.
+func (r *Reporter) sendInterval() time.Duration {
+	if len(r.members()) <= smallFleet {
+		return smallInterval
+	}
+
+	return sendInterval
+}
+
 // updateRecipients finds out which instances collect counts.
 func (r *Reporter) updateRecipients() {
 	now := r.clocks.SinceBoot()
-	candidates := dutyholder.Candidates(dutyholder.UsageReport, r.members())
+	members := r.members()
+	candidates := dutyholder.Reserve(dutyholder.UsageReport, members)
+	for _, name := range members {
+		r.memberAt[name] = now
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name := range r.recipients {
@@ -184,16 +203,34 @@
 	r.collectorSince = r.recipients[r.settings.Instance]
 }
 
+// expected returns the names of the instances whose counts of a window may still come. One that is
+// cut off is no member meanwhile, and sends its counts when it is back.
+func (r *Reporter) expected() (names []string) {
+	now := r.clocks.SinceBoot()
+	for name, at := range r.memberAt {
+		if now-at > r.settings.Window+r.settings.Delay {
+			delete(r.memberAt, name)
+
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+
+	return names
+}
+
 // Send sends the counts that have changed to the instances that collect them.
 func (r *Reporter) Send(ctx context.Context) {
+	interval := r.sendInterval()
 	r.mu.Lock()
 	now, sinceBoot := r.trueTime(), r.clocks.SinceBoot()
 	own := usagecounter.Sender{Name: r.settings.Instance, Incarnation: r.settings.Incarnation}
-	r.collector.Receive(now, own, r.counter.Changes(now, true))
+	r.collector.Receive(now, own, r.counter.Changes(now, 0, true))
 	changes := map[string][]usagecounter.WindowCounts{}
 	for name, since := range r.recipients {
 		if name != r.settings.Instance {
-			changes[name] = r.counter.Changes(now, sinceBoot-since < joinTime)
+			changes[name] = r.counter.Changes(now, interval, sinceBoot-since < joinTime)
 		}
 	}
 	r.mu.Unlock()
--- a/pkg/leaser/leaser.go
+++ b/pkg/leaser/leaser.go
@@ -165,6 +165,13 @@
 	return l.Tick(now)
 }
 
+// Hasten makes the next call to the store due at once, unless one is in flight.
+func (l *Leaser) Hasten(now time.Time) {
+	if !l.callInFlight {
+		l.nextCallAt = now
+	}
+}
+
 // Tick returns the call to the store that is due, if any: a write that renews the
 // lease, or a read, after which the lease may be acquired.
 func (l *Leaser) Tick(now time.Time) []Action {
--- a/pkg/leaser/results.go
+++ b/pkg/leaser/results.go
@@ -21,8 +21,13 @@
 
 // OnWritten handles a successful write that created the given version.
 func (l *Leaser) OnWritten(now time.Time, write Write, version uint64) {
+	l.OnWrittenInEpoch(now, write, version, write.Lease.Epoch)
+}
+
+// OnWrittenInEpoch is OnWritten for a store that states its epoch.
+func (l *Leaser) OnWrittenInEpoch(now time.Time, write Write, version, epoch uint64) {
 	l.callInFlight = false
-	l.recordStored(now, StoredLease{Version: version, Lease: write.Lease})
+	l.recordStored(now, StoredLease{Version: version, Epoch: epoch, Lease: write.Lease})
 	l.scheduleNextCall(now)
 }
 
--- a/pkg/usagecounter/counter.go
+++ b/pkg/usagecounter/counter.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// changeRepeats is the time for which a changed count is sent again. With a message a second, each
-// change is sent two or three times, so that a lost message costs nothing.
-const changeRepeats = 2500 * time.Millisecond
+// changeIntervals is the number of sending intervals in which a changed count is sent, in halves:
+// two or three times, so that a lost message costs nothing.
+const changeIntervals = 5
 
 // Counter counts the requests that endpoints began to run for one instance.
 type Counter struct {
@@ -36,11 +36,11 @@
 	c.windows[window][workspace] = count{c.windows[window][workspace].requests + 1, trueNow}
 }
 
-// Changes returns the counts to send: those of the current window that changed within the last
-// messages, and the whole of the windows before that may still be open. If everything is set, it
-// returns all that is kept, for a recipient that has just begun to collect. The current window is
+// Changes returns the counts to send: those that changed within the last messages, which are an
+// interval apart, and the whole of windows that are over but not closed yet. If everything is set,
+// it returns all that is kept, for a recipient that has just begun to collect. The current window is
 // always the last one, also without counts: it tells the recipient that those before are whole.
-func (c *Counter) Changes(trueNow time.Duration, everything bool) (changes []WindowCounts) {
+func (c *Counter) Changes(trueNow, interval time.Duration, everything bool) (changes []WindowCounts) {
 	current := c.settings.WindowAt(trueNow)
 	for window, workspaces := range c.windows {
 		if window < c.settings.oldest(trueNow) {
@@ -48,16 +48,16 @@
 
 			continue
 		}
-		if !everything && trueNow-c.settings.End(window) > maxLateness*c.settings.Delay/latenessUnit {
-			continue
-		}
+		isWhole := everything || (window < current && trueNow-c.settings.End(window) <= maxLateness*c.settings.Delay/latenessUnit)
 		counts := map[string]uint64{}
 		for workspace, counted := range workspaces {
-			if everything || window < current || trueNow-counted.changedAt < changeRepeats {
+			if isWhole || 2*(trueNow-counted.changedAt) < changeIntervals*interval {
 				counts[workspace] = counted.requests
 			}
 		}
-		changes = append(changes, WindowCounts{window, counts})
+		if len(counts) > 0 || window == current {
+			changes = append(changes, WindowCounts{window, counts})
+		}
 	}
 	if c.windows[current] == nil {
 		changes = append(changes, WindowCounts{Window: current})
--- a/pkg/usagecounter/doc.go
+++ b/pkg/usagecounter/doc.go
@@ -42,10 +42,10 @@
 
 const (
 	// A window is closed when minLateness/latenessUnit of the delay have passed since its end and
-	// all live instances have sent their counts, or when maxLateness/latenessUnit have passed.
-	// Counts arrive a second after the end, or two if a message is lost. What remains of the delay
-	// is for a write, a call, and a holder that takes over.
-	minLateness, maxLateness, latenessUnit = 3, 5, 10
+	// all instances have sent their counts, or when maxLateness/latenessUnit have passed. Counts
+	// arrive a second after the end, or two if a message is lost, and later from an instance that
+	// was cut off. What remains of the delay is for a write, a call, or a holder that takes over.
+	minLateness, maxLateness, latenessUnit = 3, 6, 10
 	// retainedDelays is for how many delays after its end a window is kept while its report cannot
 	// be made.
 	retainedDelays = 12
