--- a/internal/lab/tester/tester.go
+++ b/internal/lab/tester/tester.go
@@ -107,11 +107,12 @@
 }
 
 // longTests are the arguments of `go test` for the tests that take minutes under the race
-// detector: the bounds at the planned size, simulated large fleets, and fleets whose endpoints crash.
+// detector: the bounds at the planned size, simulated large fleets, fleets whose endpoints crash, and those that report usage.
 var longTests = [][]string{
 	{"-run", "^TestPlan", "./internal/lab/profiler"},
 	{"-run", "^TestLarge", "./internal/lab/simulator"},
 	{"./pkg/isolator"},
+	{"-run", "^TestUsage", "./platform"},
 }
 
 // raceTests are the arguments of `go test` for all tests under the race detector. Up to Go
--- a/internal/lab/tester/tester_test.go
+++ b/internal/lab/tester/tester_test.go
@@ -43,6 +43,7 @@
 		{tester.Settings{Race: true, Long: true}, []string{
 			"test -skip ^(TestA)$ -race -cpu 1 -timeout 60m ./...", "test -skip ^(TestA)$ -run ^TestPlan ./internal/lab/profiler",
 			"test -skip ^(TestA)$ -run ^TestLarge ./internal/lab/simulator", "test -skip ^(TestA)$ ./pkg/isolator",
+			"test -skip ^(TestA)$ -run ^TestUsage ./platform",
 		}},
 	} {
 		commands, output, err := run(t, test.settings, func(string) bool { return false })
