usagecounter: Add stored totals of instances that are gone

If all instances were killed within a window, the larger of the stored total and the new one was reported: 74 of 166 and 166 of 194 requests in two such windows (the second had little after the kill). The ledger now stores whose counts a total has, and adds it if none of these senders is heard any more. The property now also says that no count is above the truth.

--- a/internal/usagereporter/term.go
+++ b/internal/usagereporter/term.go
@@ -91,17 +91,10 @@
 	expected := r.expected()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	senders := 0
-	totals := func(window uint64) (totals map[string]uint64) {
-		totals, senders = r.collector.Totals(window)
-
-		return totals
-	}
 	missing := func(window uint64) []string { return r.collector.Missing(window, expected) }
-	for _, closed := range r.reports.ledger.Close(r.trueTime(), totals, missing) {
-		totals(closed.Window)
+	for _, closed := range r.reports.ledger.Close(r.trueTime(), r.collector.Total, missing) {
 		r.logger.Info("Window closed.", "window", closed.Window, "requests", closed.Sum(), "workspaces", len(closed.Counts),
-			"instances heard", senders, "missing", missing(closed.Window), "token", term.Fence)
+			"instances heard", len(r.collector.Total(closed.Window).Senders), "missing", missing(closed.Window), "token", term.Fence)
 		r.reports.nextStoreAt, r.reports.isUrgent = 0, true
 	}
 }
--- a/pkg/usagecounter/counter.go
+++ b/pkg/usagecounter/counter.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
+	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 )
@@ -111,16 +114,53 @@
 	}
 }
 
-// Totals returns the requests of all senders in a window by workspace, and the number of senders.
-func (c *Collector) Totals(window uint64) (totals map[string]uint64, senders int) {
-	totals = map[string]uint64{}
-	for _, counts := range c.windows[window] {
+// Total is what is known of a window: the requests by workspace, and whose they are.
+type Total struct {
+	WindowCounts
+
+	// Senders are hashes of the senders, in ascending order.
+	Senders []uint32 `json:"senders,omitempty"`
+}
+
+// Total returns the requests of all senders in a window.
+func (c *Collector) Total(window uint64) Total {
+	total := Total{WindowCounts: WindowCounts{window, map[string]uint64{}}}
+	for sender, counts := range c.windows[window] {
+		total.Senders = append(total.Senders, sender.hash())
 		for workspace, requests := range counts {
-			totals[workspace] += requests
+			total.Counts[workspace] += requests
+		}
+	}
+	slices.Sort(total.Senders)
+
+	return total
+}
+
+// hash returns a hash of the sender. Two senders with one hash only make a total of lost counts
+// smaller.
+func (s Sender) hash() uint32 {
+	hash := fnv.New32a()
+	_, _ = fmt.Fprint(hash, s.Incarnation, s.Name)
+
+	return hash.Sum32()
+}
+
+// add returns the total with an earlier one, which may be lost otherwise. Cumulative counts of the
+// same senders are in both: then, for each workspace, the larger is at most the truth.
+func (t Total) add(earlier Total) Total {
+	isShared := func(sender uint32) bool { return slices.Contains(earlier.Senders, sender) }
+	isDisjoint := !slices.ContainsFunc(t.Senders, isShared)
+	merged := Total{WindowCounts: WindowCounts{t.Window, maps.Clone(t.Counts)}}
+	for workspace, requests := range earlier.Counts {
+		if isDisjoint {
+			merged.Counts[workspace] += requests
+		} else {
+			merged.Counts[workspace] = max(merged.Counts[workspace], requests)
 		}
 	}
+	merged.Senders = slices.Compact(slices.Sorted(slices.Values(append(slices.Clone(t.Senders), earlier.Senders...))))
 
-	return totals, len(c.windows[window])
+	return merged
 }
 
 // Missing returns which of the named instances have not sent their whole counts of a window.
--- a/pkg/usagecounter/ledger.go
+++ b/pkg/usagecounter/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 )
 
@@ -24,8 +25,10 @@
 	Next uint64 `json:"next"`
 	// Closed are the windows whose counts are final and whose reports are not known to be accepted.
 	Closed []WindowCounts `json:"closed,omitempty"`
-	// Open are totals of windows that are not closed.
-	Open []WindowCounts `json:"open,omitempty"`
+	// Open are totals of windows that are not closed, and Earlier those that earlier holders stored,
+	// the oldest first.
+	Open    []Total `json:"open,omitempty"`
+	Earlier []Total `json:"earlier,omitempty"`
 }
 
 // Ledger decides which counts of a window are reported, and when, for the instance that reports.
@@ -47,6 +50,7 @@
 		l.record, isComplete = record{}, false
 	}
 	l.recorded = l.record.Next
+	l.record.Earlier, l.record.Open = append(l.record.Earlier, l.record.Open...), nil
 	if !isComplete {
 		if first == 0 {
 			first = settings.WindowAt(trueNow + lostMargin - minLateness*settings.Delay/latenessUnit)
@@ -57,10 +61,10 @@
 	return l
 }
 
-// Close closes the windows whose time has come. totals returns the requests of a window, and missing
+// Close closes the windows whose time has come. total returns what was collected of a window, and missing
 // the instances that have not sent all of theirs. Close returns the windows that it closed. Their
 // counts are final, but may be reported only when they are stored.
-func (l *Ledger) Close(trueNow time.Duration, totals func(window uint64) map[string]uint64, missing func(window uint64) []string) (closed []WindowCounts) {
+func (l *Ledger) Close(trueNow time.Duration, total func(window uint64) Total, missing func(window uint64) []string) (closed []WindowCounts) {
 	l.record.Next = max(l.record.Next, l.settings.oldest(trueNow))
 	for {
 		window := l.record.Next
@@ -71,12 +75,12 @@
 		if late < maxLateness*l.settings.Delay && len(missing(window)) > 0 {
 			break
 		}
-		final := WindowCounts{window, l.merge(window, totals(window))}
+		final := l.merge(total(window)).WindowCounts
 		l.record.Closed = append(l.record.Closed, final)
 		l.record.Next++
 		closed = append(closed, final)
 	}
-	l.updateOpen(trueNow, totals)
+	l.updateOpen(trueNow, total)
 
 	return closed
 }
@@ -90,32 +94,32 @@
 	return number
 }
 
-// merge returns, for each workspace, the larger of the stored total and the collected one.
-func (l *Ledger) merge(window uint64, collected map[string]uint64) map[string]uint64 {
-	for _, open := range l.record.Open {
-		if open.Window != window {
-			continue
-		}
-		for workspace, requests := range open.Counts {
-			collected[workspace] = max(collected[workspace], requests)
+// merge returns a total with what earlier holders stored of its window.
+func (l *Ledger) merge(merged Total) Total {
+	for _, earlier := range slices.Backward(l.record.Earlier) {
+		if earlier.Window == merged.Window {
+			merged = merged.add(earlier)
 		}
 	}
 
-	return collected
+	return merged
 }
 
 // updateOpen brings the totals of the windows that are not closed up to date.
-func (l *Ledger) updateOpen(trueNow time.Duration, totals func(window uint64) map[string]uint64) {
-	var open []WindowCounts
+func (l *Ledger) updateOpen(trueNow time.Duration, total func(window uint64) Total) {
+	l.record.Open = nil
+	l.record.Earlier = slices.DeleteFunc(l.record.Earlier, func(t Total) bool { return t.Window < l.record.Next })
 	number := 0
+	for _, earlier := range l.record.Earlier {
+		number += len(earlier.Counts)
+	}
 	for window := l.record.Next; window <= l.settings.WindowAt(trueNow); window++ {
-		counts := l.merge(window, totals(window))
-		if number += len(counts); number > maxOpenCounts {
+		open := total(window)
+		if number += len(open.Counts); number > maxOpenCounts {
 			break
 		}
-		open = append(open, WindowCounts{window, counts})
+		l.record.Open = append(l.record.Open, open)
 	}
-	l.record.Open = open
 }
 
 // Payload returns what to store, and the first window that is not closed in it.
--- a/pkg/usagecounter/usagecounter_test.go
+++ b/pkg/usagecounter/usagecounter_test.go
@@ -61,12 +61,7 @@
 	for n := range u.counters {
 		u.send(n, !loses)
 	}
-	totals := func(window uint64) map[string]uint64 {
-		counts, _ := u.collector.Totals(window)
-
-		return counts
-	}
-	u.ledger.Close(u.now, totals, func(window uint64) []string { return u.collector.Missing(window, []string{"0", "1", "2"}) })
+	u.ledger.Close(u.now, u.collector.Total, func(window uint64) []string { return u.collector.Missing(window, []string{"0", "1", "2"}) })
 }
 
 // store stores the ledger, and the ledger learns of it unless the answer is lost.
@@ -95,7 +90,7 @@
 }
 
 // Guards against a window that is reported with two counts, whatever is lost: messages, writes,
-// answers, the holder, what was stored, and instances; and against counts that are wrong although no
+// answers, the holder, what was stored, and instances; against counts above the truth; and against counts that are wrong although no
 // instance was killed.
 func TestNoWindowHasTwoCounts(t *testing.T) {
 	exact, total := 0, 0
@@ -121,6 +116,14 @@
 				u.lossy[settings.WindowAt(u.now)], u.lossy[settings.WindowAt(u.now)-1] = true, true
 			case 1:
 				u.newTerm()
+			case 3: // All are killed, with what they have collected.
+				for n := range u.starts {
+					u.starts[n]++
+					u.counters[n] = usagecounter.NewCounter(settings)
+				}
+				u.collector = usagecounter.NewCollector(settings)
+				u.lossy[settings.WindowAt(u.now)], u.lossy[settings.WindowAt(u.now)-1], u.lossy[settings.WindowAt(u.now)-2] = true, true, true
+				u.newTerm()
 			case 2:
 				u.isLost, u.stored = true, nil
 				u.newTerm()
