sharer: Share short capacity between workspaces and tiers

Cause: on overload nearly all requests were queued at the engines until they were late, and one workspace took the others' room. Change: pkg/sharer admits by the queue at the engines, by tiers and by weighted max-min fair shares; dispatcher and relayer use it where the platform's features have 'pressure'; gossiper sends claims.

--- a/internal/commands/relay.go
+++ b/internal/commands/relay.go
@@ -46,6 +46,7 @@
 		Decoder:   platform.ObjectDecoder{},
 		Codec:     platform.HeaderCodec{},
 		ReadyPath: platform.ReadyPath,
+		Features:  platform.Features,
 	}, relayrunner.NewHost(), logger)
 	settingsReloader := reloader.New(reloader.DefaultInterval, settings,
 		func() (configurer.RelaySettings, error) { return c.readRelaySettings(arguments) }, instance.Reload, logger.Named("reloader"))
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 	"github.com/oleanderpick/oleanderpick/pkg/registrar"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
+	"github.com/oleanderpick/oleanderpick/pkg/sharer"
 	"github.com/oleanderpick/oleanderpick/pkg/throttler"
 )
 
@@ -47,6 +48,8 @@
 	MaxConfigurationAge, MaxEndpointsAge time.Duration
 	// RepeatLimits limits the repeats of requests that all instances make together.
 	RepeatLimits retrier.RepeatLimiterSettings
+	// Features are those that the platform calls for.
+	Features Features
 }
 
 const (
@@ -95,6 +98,8 @@
 	lease               *freshener.Lease
 	registry            *registrar.Registrar
 	placer              *placer.Placer
+	sharer              *sharer.Sharer            // nil if capacity is not shared
+	sharedAttempts      map[uint64]*sharedAttempt // by attempt ID
 	repeatLimiter       *retrier.RepeatLimiter
 	quarantine          *quarantiner.Quarantiner
 	isolator            *isolator.Isolator
@@ -161,11 +166,12 @@
 	}
 	d.configurationState.limit.Max, d.endpointsState.limit.Max = settings.MaxConfigurationAge, settings.MaxEndpointsAge
 	d.reach.Store(&reachSummary{})
+	d.initSharing(settings.Features)
 
 	return d
 }
 
-// Configure replaces the limits. It does not change the name and the data centre.
+// Configure replaces the limits. It does not change the name, the data centre and the features.
 func (d *Dispatcher) Configure(settings Settings) {
 	d.withState(func() {
 		d.lease.SetLifetime(settings.KeyLeaseDuration)
--- a/internal/dispatcher/message.go
+++ b/internal/dispatcher/message.go
@@ -6,6 +6,7 @@
 	"github.com/oleanderpick/oleanderpick/pkg/isolator"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
+	"github.com/oleanderpick/oleanderpick/pkg/sharer"
 )
 
 // Message is the state that an instance sends to a peer.
@@ -23,6 +24,9 @@
 	Prefills map[string][]uint64
 	// Demands are the demands that arrive at the sender, by service name.
 	Demands map[string]placer.Demand
+	// Claims are what competes for capacity that is short. Claims of BuildMessage's messages are returned
+	// by Dispatcher.Claims.
+	Claims []sharer.Claim
 	// Suspects are the requests that may have crashed endpoints.
 	Suspects []quarantiner.Entry
 	// Blocks are the prompt blocks that were present when endpoints crashed.
@@ -130,6 +134,7 @@
 			d.placer.ReceiveDataCentreLoads(d.clock.Now(), message.DataCentre, message.Loads, message.Demands)
 		}
 		d.placer.ReceivePrefills(d.clock.Now(), message.Prefills, message.DataCentre == d.dataCentre)
+		d.receiveClaims(d.clock.Now(), peer, message)
 		d.mergeSuspects(d.clock.Now(), message.Suspects)
 		d.mergeBlocks(d.clock.Now(), message.Blocks)
 		d.recordRejections(message.Rejections)
--- a/internal/dispatcher/platform_data.go
+++ b/internal/dispatcher/platform_data.go
@@ -249,6 +249,9 @@
 	d.withState(func() {
 		d.repeatLimiter.SetInstanceCount(fleet.InstanceCount)
 		d.rank = fleet.Rank
+		if d.sharer != nil {
+			d.sharer.SetFleet(fleet.InstanceCount)
+		}
 		if len(fleet.Members) > 0 {
 			d.throttler.SetMembers(d.clock.Now(), fleet.Members)
 			d.protector.SetMembers(d.clock.Now(), fleet.Members)
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/retrier"
+	"github.com/oleanderpick/oleanderpick/pkg/sharer"
 	"github.com/oleanderpick/oleanderpick/pkg/throttler"
 )
 
@@ -21,6 +22,8 @@
 	RegistryAge time.Duration
 	// IsRegistryOld is true if no endpoint is chosen because the registry is older than it may be.
 	IsRegistryOld bool
+	// Sharing is the decision by which a request was admitted or postponed; nil if capacity is not shared.
+	Sharing *sharer.Decision
 
 	attemptID uint64
 }
@@ -73,7 +76,7 @@
 
 			return placement, nil, false
 		}
-		if retryAfter, postponed := d.placer.ShouldPostpone(request, placement.Choice); postponed {
+		if retryAfter, postponed := d.shouldPostpone(now, request, &placement); postponed {
 			placement.RetryAfter = retryAfter
 
 			return placement, nil, true
@@ -87,6 +90,7 @@
 			placement.attemptID = d.lastAttemptID
 			placement.RegistryAge = d.clock.SinceBoot() - d.registryReadAt()
 			d.placer.RecordSent(now, placement.attemptID, placement.Choice, request)
+			d.recordShared(now, request, placement)
 			d.reportLoadChange(placement)
 
 			return placement, nil, true
@@ -100,6 +104,7 @@
 func (d *Dispatcher) RecordFirstEvent(placement Placement) {
 	d.withState(func() {
 		d.placer.RecordFirstEvent(d.clock.Now(), placement.attemptID)
+		d.recordSharedFirstEvent(d.clock.Now(), placement.attemptID)
 		if placement.UncachedTokens >= minUncachedTokensToReport {
 			d.reportLoadChange(placement)
 		}
@@ -138,6 +143,7 @@
 	d.withState(func() {
 		d.recordCompletedBlocks(completedBlocks)
 		d.placer.RecordResult(d.clock.Now(), placement.attemptID, result)
+		d.recordSharedResult(d.clock.Now(), placement.attemptID, result)
 		d.reportLoadChange(placement)
 	})
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -95,15 +95,16 @@
 	datagrams  DatagramSender // nil if exchanges are calls
 	done       chan struct{}
 
-	mu         sync.Mutex
-	peers      map[string]*peer     // by address
-	byHash     map[uint32]*peer     // by the hash of the address in messages; nil if several have it
-	summaryAt  map[string]time.Time // when the summary of a data centre's loads came or was asked for
-	view       view                 // of the live peers
-	leaving    bool                 // sent in messages: this instance is about to stop
-	roundCount int
-	asked      map[uint32]askedExchange // by number
-	lastAsked  uint32
+	mu           sync.Mutex
+	peers        map[string]*peer     // by address
+	byHash       map[uint32]*peer     // by the hash of the address in messages; nil if several have it
+	summaryAt    map[string]time.Time // when the summary of a data centre's loads came or was asked for
+	view         view                 // of the live peers
+	leaving      bool                 // sent in messages: this instance is about to stop
+	roundCount   int
+	asked        map[uint32]askedExchange // by number
+	lastAsked    uint32
+	claimsSentAt time.Time // when claims were last sent
 }
 
 // peer holds what is known about another instance, or about an address at which
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -74,6 +74,7 @@
 	message.Members = missingMembers(recipientAddressCount, known.live)
 	if includeLoads {
 		addLoads(message, state)
+		g.addClaims(now, message)
 	}
 	for _, entry := range state.Suspects {
 		message.Suspects = append(message.Suspects, encodeSuspect(now, entry))
@@ -208,6 +209,7 @@
 		decoded.Suspects = append(decoded.Suspects, decodeSuspect(now, suspect))
 	}
 	decoded.Blocks = blockencoder.Decode(now, message.GetBlocks())
+	decoded.Claims = decodeClaims(message.GetClaims())
 	decoded.Rejections = DecodeRejections(now, message.GetRejections())
 
 	return decoded
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -96,11 +96,13 @@
 			return
 		}
 		if placement.RetryAfter > 0 {
+			r.logSharing(placement)
 			r.logPostponed(placement)
 			r.refuse(answerer.New(answerer.KindHopeless, "The prompt backlog of the engines is too long.").WithRetryAfter(placement.RetryAfter))
 
 			return
 		}
+		r.logSharing(placement)
 		r.logPlaced(placement)
 		if a := r.makeAttempt(ctx, placement); a.answered || !r.retryOrFinish(ctx, a) {
 			return
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -329,7 +329,10 @@
 func (r *relayedRequest) preparePlacement() {
 	service := r.route.PickService(r.relayer.random())
 	r.service, _ = r.matcher.Service(service)
-	r.placementRequest = placer.Request{ID: r.metadata.ID, Service: service, Tier: r.forwarding.Tier}
+	r.placementRequest = placer.Request{
+		ID: r.metadata.ID, Service: service, Tier: r.forwarding.Tier,
+		Workspace: r.forwarding.Workspace, Deadline: r.deadline, MayHaveRun: r.mayHaveRun, IsResumed: r.metadata.ResumedRequestID != "" || r.metadata.LastEventID != "",
+	}
 	if r.service.Engine != nil {
 		r.placementRequest.PromptTokens = max(1, r.metadata.PromptTokens)
 		r.placementRequest.OutputTokens = r.metadata.OutputTokens
--- a/internal/relayrunner/reload.go
+++ b/internal/relayrunner/reload.go
@@ -59,6 +59,17 @@
 	}
 }
 
+// dispatcherSettings returns the dispatcher's part of an instance's settings at its start, with the
+// features that the platform calls for.
+func (p Platform) dispatcherSettings(settings configurer.RelaySettings) dispatcher.Settings {
+	part := dispatcherSettings(settings)
+	if p.Features != nil {
+		part.Features = p.Features(settings.Features)
+	}
+
+	return part
+}
+
 // maxAge returns the age from which data is not used if changes must take effect within a limit.
 func maxAge(limit time.Duration) time.Duration {
 	return limit - min(sendMargin, limit/sendMarginShare)
--- a/internal/relayrunner/runner.go
+++ b/internal/relayrunner/runner.go
@@ -71,6 +71,8 @@
 	// ReadyPath is the path at which the load balancer asks whether the instance is
 	// ready.
 	ReadyPath string
+	// Features returns the features that the platform's names call for; nil if there are none.
+	Features func(names string) dispatcher.Features
 }
 
 // Runner is one relaying instance.
@@ -145,7 +147,7 @@
 	counters := meter.New()
 	r := &Runner{settings: settings, host: host, logger: logger.Named("runner"), listening: make(chan struct{}), done: make(chan struct{})}
 	r.stopTimeoutNs.Store(int64(settings.StopTimeout))
-	r.dispatcher = dispatcher.New(dispatcherSettings(settings), dispatcher.Clock{Now: time.Now, SinceBoot: host.SinceBoot}, logger.Named("dispatcher"))
+	r.dispatcher = dispatcher.New(platform.dispatcherSettings(settings), dispatcher.Clock{Now: time.Now, SinceBoot: host.SinceBoot}, logger.Named("dispatcher"))
 	r.endpointConnections = connector.New(connector.DefaultSettings(), host.DialEndpoint)
 	r.peerConnections = connector.New(connector.DefaultSettings(), host.DialEndpoint)
 	r.relayer = relayer.New(platform.Codec, r.dispatcher, r.endpointConnections, r.peerConnections, counters, logger.Named("relayer"), rand.Uint64)
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -61,6 +61,12 @@
 	// Tier is the request's priority at an engine, from 0, the highest, to TierCount-1.
 	// Engines run requests of higher tiers first.
 	Tier int
+	// Workspace is the one that sent the request, and Deadline when the answer is of no more use to it.
+	Workspace string
+	Deadline  time.Time
+	// MayHaveRun is true if an endpoint may have run the request before, and IsResumed if it continues
+	// a stream that has begun.
+	MayHaveRun, IsResumed bool
 	// TargetTimeToFirstToken is the promised time to the first token; zero if
 	// none was promised.
 	TargetTimeToFirstToken time.Duration
