--- a/pkg/sharer/fleet_test.go
+++ b/pkg/sharer/fleet_test.go
@@ -68,8 +68,6 @@
 	refusedFree  int
 	again, back  int
 	returnsAt    map[int64]int // by 50 ms
-	reasons      map[sharer.Reason]int
-	waits        float64
 }
 
 const (
@@ -82,7 +80,7 @@
 	m := &model{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), lag: 10 * time.Millisecond, workspaces: 24,
 		cut: func(time.Duration) int { return 0 }, surge: func(time.Duration, int) float64 { return 1 }, loss: func(time.Duration) int { return 0 },
-		workspace: map[string]*[2]float64{}, reasons: map[sharer.Reason]int{}, returnsAt: map[int64]int{}, heardAt: make([]time.Time, instances), retriers: 0.3,
+		workspace: map[string]*[2]float64{}, returnsAt: map[int64]int{}, heardAt: make([]time.Time, instances), retriers: 0.3,
 		longRate: 0.75 * 49600 * float64(engines) / 30 / 3300, shortRate: 0.08 * 49600 * float64(engines) / 30 / 920,
 	}
 	m.start = m.now
@@ -133,8 +131,12 @@
 // hear lets instances learn of each other: the pending tokens after the lag, and claims of one in 250 ms.
 func (m *model) hear(elapsed time.Duration) {
 	for i, s := range m.sharers {
-		if elapsed%m.lag < modelStep {
-			for e, engine := range m.engines {
+		for e, engine := range m.engines {
+			switch {
+			case elapsed%m.lag >= modelStep:
+			case i > 0 && m.cut(elapsed) == 0:
+				m.views[i][e] = m.views[0][e]
+			default:
 				from, to := 0, m.cut(elapsed)
 				if i >= to {
 					from, to = to, len(m.sharers)
@@ -227,10 +229,6 @@
 		m.again++
 	}
 	c.retries++
-	if m.policy == nil && !m.shared {
-		m.reasons[c.decision.Reason]++
-		m.waits += retryAfter.Seconds()
-	}
 	c.due = m.now.Add(retryAfter)
 	if c.impatient && c.retries <= 3 {
 		c.due = m.now.Add(modelStep)
