sharer: Keep tiers in order for returns, and learn from the uncorrected prediction

Change: higher tiers' shortage comes before returns; the correction is learned from the prediction; usage is rounded; an instance takes one more return than it promised.

--- a/internal/dispatcher/sharing.go
+++ b/internal/dispatcher/sharing.go
@@ -16,7 +16,7 @@
 // sharedAttempt is an attempt that counts in the shares.
 type sharedAttempt struct {
 	work       sharer.Work
-	expected   time.Duration
+	predicted  time.Duration
 	sentAt     time.Time
 	firstAfter time.Duration // time from sentAt to the first event; 0 before it
 }
@@ -62,7 +62,7 @@
 	}
 	work := workOf(now, request, placement.Choice)
 	d.sharer.Start(now, work)
-	d.sharedAttempts[placement.attemptID] = &sharedAttempt{work: work, expected: placement.Sharing.Expected, sentAt: now}
+	d.sharedAttempts[placement.attemptID] = &sharedAttempt{work: work, predicted: placement.Sharing.Predicted, sentAt: now}
 }
 
 // recordSharedFirstEvent records when the first event of an attempt that counts in the shares came.
@@ -79,12 +79,12 @@
 		return
 	}
 	delete(d.sharedAttempts, attemptID)
-	outcome := sharer.Outcome{Expected: a.expected, UntilFirstToken: a.firstAfter}
+	outcome := sharer.Outcome{Predicted: a.predicted, UntilFirstToken: a.firstAfter}
 	switch result {
 	case placer.Refused, placer.Misdirected, placer.Unreachable:
 		outcome.HasNotRun = a.firstAfter == 0
 	case placer.Canceled:
-		if waited := now.Sub(a.sentAt); a.firstAfter == 0 && waited > a.expected {
+		if waited := now.Sub(a.sentAt); a.firstAfter == 0 && waited > a.predicted {
 			outcome.UntilFirstToken = waited // It would have taken longer still.
 		}
 	case placer.Finished, placer.Failed:
--- a/pkg/sharer/claims.go
+++ b/pkg/sharer/claims.go
@@ -119,7 +119,8 @@
 func (s *Sharer) sum(now time.Time, l *lane, include func(peerID) bool) map[string]usage {
 	sums := make(map[string]usage, len(l.accounts))
 	for workspace, a := range l.accounts {
-		sums[workspace] = usage{a.wanted.get(now), a.served.get(now)}
+		// Sums of whole numbers do not depend on the order of addition, so equal inputs give equal decisions.
+		sums[workspace] = usage{math.Round(a.wanted.get(now)), math.Round(a.served.get(now))}
 	}
 	for id, peer := range s.peers {
 		if now.Sub(peer.receivedAt) > claimTTL {
@@ -133,7 +134,7 @@
 		for _, claim := range peer.claims {
 			if claim.Service == l.id.service && claim.Tier == l.id.tier {
 				u := sums[claim.Workspace]
-				sums[claim.Workspace] = usage{u.wanted + claim.Wanted, u.served + claim.Served}
+				sums[claim.Workspace] = usage{u.wanted + math.Round(claim.Wanted), u.served + math.Round(claim.Served)}
 			}
 		}
 	}
--- a/pkg/sharer/lane.go
+++ b/pkg/sharer/lane.go
@@ -13,15 +13,16 @@
 
 // lane is the state of a service and a tier.
 type lane struct {
-	id         laneID
-	fullness   float64 // queue at the best endpoints as a fraction of the target, smoothed
-	fullnessAt time.Time
-	shortAt    time.Time // last sign of a shortage
-	shortSince time.Time // first sign of it
-	refusedAt  time.Time
-	errors     estimateError
-	accounts   map[string]*account // by workspace
-	sweptAt    time.Time
+	id            laneID
+	fullness      float64 // queue at the best endpoints as a fraction of the target, smoothed
+	fullnessAt    time.Time
+	shortAt       time.Time // last sign of a shortage
+	shortSince    time.Time // first sign of it
+	refusedAt     time.Time
+	sent, refused rate // all workspaces' work at this instance
+	errors        estimateError
+	accounts      map[string]*account // by workspace
+	sweptAt       time.Time
 	// lastCapacity is what all tiers of the service together could use when claims were last heard.
 	lastCapacity float64
 	cached       totals
--- a/pkg/sharer/returns.go
+++ b/pkg/sharer/returns.go
@@ -53,7 +53,7 @@
 // isDue reports whether a request has waited its time: this instance told it to come back by now, or it comes
 // at the time of its ID while capacity is short. Then another instance may have told it that, since
 // all derive that time from the ID alike. This instance
-// then honours its own promises to the workspace.
+// then honours its own promises to the workspace, and one more, since few are promised at each.
 func (r *returns) isDue(now time.Time, work Work, l *lane) bool {
 	if due, isKnown := r.dueAt(now, work); isKnown {
 		return now.Add(returnGrace).After(due)
@@ -64,7 +64,7 @@
 	since := (time.Duration(now.UnixNano()) - phaseOf(work.ID) + returnGrace) % returnPeriod
 	account := l.accounts[work.Workspace]
 
-	return since < returnWindow && account != nil && account.promisedNow(now) >= float64(work.Tokens)
+	return since < returnWindow && account != nil && account.promisedNow(now) > -float64(work.Tokens)
 }
 
 // nextReturn returns the first time from a given one on that is that of a request's ID. Requests without an
--- a/pkg/sharer/settings.go
+++ b/pkg/sharer/settings.go
@@ -59,9 +59,11 @@
 	errorSmoothingFactor = 0.1
 	// maxCorrection limits by how much the expected time is corrected.
 	maxCorrection = 3.0
-	// minErrorSample is the shortest expected time from whose error the correction is learned.
-	// Shorter ones consist of overheads mostly.
-	minErrorSample = 20 * time.Millisecond
+	// minErrorFraction is the shortest predicted time, as a fraction of the target, from whose error the
+	// correction is learned. Shorter ones consist of overheads mostly.
+	minErrorFraction = 0.25
+	// errorTimeConstant is the time constant with which the correction is forgotten without new observations.
+	errorTimeConstant = 10 * time.Second
 	// higherShortFraction is the unserved part of the demand of higher tiers from which a tier gets
 	// only what is free.
 	higherShortFraction = 0.1
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -54,8 +54,10 @@
 // a place in its workspace's share.
 func (s *Sharer) Admit(now time.Time, work Work, room Room) Decision {
 	l := s.lane(work.Service, work.Tier)
-	decision := Decision{Expected: s.expected(now, l, work, room)}
-	queue := decision.Expected - room.Prefill
+	queue := s.queue(now, work, room)
+	decision := Decision{Predicted: room.Prefill + queue}
+	queue = time.Duration(float64(queue) * l.errors.correction(now))
+	decision.Expected = room.Prefill + queue
 	limited := decision.Expected
 	if room.Prefill >= work.Target {
 		limited = queue // Its prompt alone takes too long, so coming back would not help it.
@@ -83,6 +85,9 @@
 		return decision
 	}
 	l.refusedAt = now
+	if decision.Reason != TooEarly {
+		l.refused.add(now, float64(work.Tokens))
+	}
 	l.markShort(now)
 	decision.RetryAfter = s.reserve(now, l, work, max(0, excess))
 
@@ -96,9 +101,9 @@
 	switch {
 	case isTooLate:
 		return TooLate
-	case decision.IsReturned:
 	case s.isHigherTierShort(now, l.id):
 		return HigherTier
+	case decision.IsReturned:
 	case isShort && isEarly:
 		return TooEarly
 	case isShort && l.account(now, work.Workspace).debtAt(now, s.localRate(now, l, work.Workspace)) > 0:
@@ -113,6 +118,7 @@
 	l := s.lane(work.Service, work.Tier)
 	account := l.account(now, work.Workspace)
 	account.served.add(now, float64(work.Tokens))
+	l.sent.add(now, float64(work.Tokens))
 	isReturned := s.returns.isDue(now, work, l)
 	isKnown := s.returns.take(work)
 	switch {
@@ -133,13 +139,13 @@
 		account.charge(now, s.localRate(now, l, work.Workspace), -float64(work.Tokens))
 	}
 	if outcome.UntilFirstToken > 0 {
-		l.errors.record(outcome.Expected, outcome.UntilFirstToken)
+		l.errors.record(now, outcome.Predicted, outcome.UntilFirstToken, work.Target)
 	}
 }
 
-// expected returns the time until a request's first token. Engines run higher tiers first, so of the
+// queue returns the time that a request waits for others. Engines run higher tiers first, so of the
 // queue at the endpoint the lane counts the part of its own and higher tiers' work.
-func (s *Sharer) expected(now time.Time, l *lane, work Work, room Room) time.Duration {
+func (s *Sharer) queue(now time.Time, work Work, room Room) time.Duration {
 	ahead, all := 0.0, 0.0
 	for id := range s.lanes {
 		if id.service == work.Service {
@@ -154,19 +160,19 @@
 	if all > 0 {
 		part = ahead / all
 	}
-	queue := part * float64(max(0, room.Expected-room.Prefill)) * l.errors.correction()
 
-	return room.Prefill + time.Duration(queue)
+	return time.Duration(part * float64(max(0, room.Expected-room.Prefill)))
 }
 
-// isHigherTierShort reports whether requests of a higher tier of the service were refused lately and
-// much of their demand is not served.
+// isHigherTierShort reports whether a higher tier of the service was short lately and much of its demand is not
+// served, at all instances or at this one. Requests that come back are no part of the demand, but of what is refused.
 func (s *Sharer) isHigherTierShort(now time.Time, id laneID) bool {
 	for other, l := range s.lanes {
 		if other.service != id.service || other.tier >= id.tier || now.Sub(l.shortAt) > rateTimeConstant {
 			continue
 		}
-		if t := s.totals(now, l); t.wanted-t.served > higherShortFraction*t.wanted {
+		sent, refused := l.sent.get(now), l.refused.get(now)
+		if t := s.totals(now, l); t.wanted-t.served > higherShortFraction*t.wanted || refused > higherShortFraction*(sent+refused) {
 			return true
 		}
 	}
--- a/pkg/sharer/work.go
+++ b/pkg/sharer/work.go
@@ -59,6 +59,8 @@
 	// Expected is the time to the first token by which the decision was made: without the work of
 	// lower tiers, and corrected by recent errors.
 	Expected time.Duration
+	// Predicted is Expected without the correction.
+	Predicted time.Duration
 	// Share is the workspace's share at all instances in tokens per second, infinite if there is
 	// enough for all; Wanted and Served are its demand and what was sent to endpoints. Capacity is
 	// what its tier may use. They are 0 if capacity is not short.
@@ -71,9 +73,9 @@
 
 // Outcome is how an admitted request's attempt went.
 type Outcome struct {
-	// Expected is the time of the decision by which the request was sent, and UntilFirstToken the time that it
+	// Predicted is that of the decision by which the request was sent, and UntilFirstToken the time that it
 	// took; 0 if there was no token.
-	Expected, UntilFirstToken time.Duration
+	Predicted, UntilFirstToken time.Duration
 	// HasNotRun is true if the endpoint did not begin to run the request, which then does not count
 	// as served.
 	HasNotRun bool
