relayer: Test a refusal for want of room, and bound its metrics by workspace

Cause: names of workspaces stand in metrics, whose number and form were not bounded. Measured: go test -run 'WantOfRoom|EnginesOrder' ./internal/relayer passed.

--- a/internal/relayer/harness_test.go
+++ b/internal/relayer/harness_test.go
@@ -154,13 +154,19 @@
 
 // runWithHarness runs a test with a new harness in virtual time.
 func runWithHarness(t *testing.T, test func(*testing.T, *harness)) {
+	t.Helper()
+	runWithFeatures(t, dispatcher.Features{}, test)
+}
+
+// runWithFeatures is runWithHarness for an instance with features.
+func runWithFeatures(t *testing.T, features dispatcher.Features, test func(*testing.T, *harness)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		h := &harness{t: t, network: piper.New(), meter: meter.New(), dispatchers: map[string]*dispatcher.Dispatcher{}}
 		startTime := time.Now()
 		h.bootClock = func() time.Duration { return time.Since(startTime) + h.suspendedTime + time.Hour }
 		h.dispatcher = dispatcher.New(dispatcher.Settings{
-			KeyLeaseDuration: keyLease, ReregistrationWindow: 2 * time.Second,
+			KeyLeaseDuration: keyLease, ReregistrationWindow: 2 * time.Second, Features: features,
 			RepeatLimits: retrier.RepeatLimiterSettings{Window: 10 * time.Second, RepeatRatio: 0.2, Burst: 50},
 		}, dispatcher.Clock{Now: time.Now, SinceBoot: func() time.Duration { return h.bootClock() }}, hclog.NewNullLogger())
 		connections := connector.New(connector.DefaultSettings(), h.dialEndpoint)
--- a/internal/relayer/sharing.go
+++ b/internal/relayer/sharing.go
@@ -3,10 +3,27 @@
 import (
 	"math"
 	"strconv"
+	"strings"
 
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
+	"github.com/oleanderpick/oleanderpick/pkg/sharer"
 )
 
+// minCountedFraction is the part of a tier's capacity that a workspace must want to be counted by name, so that
+// few are.
+const minCountedFraction = 0.05
+
+// metricName returns a workspace's name as a part of a metric's.
+func metricName(workspace string) string {
+	return strings.Map(func(c rune) rune {
+		if c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' {
+			return c
+		}
+
+		return '_'
+	}, workspace)
+}
+
 // logSharing logs and counts a decision about a request for capacity that may be short.
 func (r *relayedRequest) logSharing(placement dispatcher.Placement) {
 	decision := placement.Sharing
@@ -23,9 +40,8 @@
 		return
 	}
 	r.relayer.meter.Add("sharing.refused."+tier+"."+string(decision.Reason), 1)
-	if decision.Wanted > decision.Share {
-		// Only workspaces that take more than their share are counted by name, and there are few of these.
-		r.relayer.meter.Add("sharing.over-share."+r.forwarding.Workspace, 1)
+	if decision.Reason == sharer.OverShare && decision.Wanted > minCountedFraction*decision.Capacity {
+		r.relayer.meter.Add("sharing.over-share."+metricName(r.forwarding.Workspace), 1)
 	}
 	share := int64(-1) // no limit
 	if !math.IsInf(decision.Share, 0) {
