--- a/internal/commands/relay.go
+++ b/internal/commands/relay.go
@@ -47,6 +47,7 @@
 		Codec:     platform.HeaderCodec{},
 		ReadyPath: platform.ReadyPath,
 		Cloud:     platform.CloudFormat{},
+		Features:  platform.Features,
 	}, relayrunner.NewHost(), logger)
 	settingsReloader := reloader.New(reloader.DefaultInterval, settings,
 		func() (configurer.RelaySettings, error) { return c.readRelaySettings(arguments) }, instance.Reload, logger.Named("reloader"))
