platform: Read each figure of a stated load by itself

A load with a fourth figure, or with one that cannot be read, was discarded as a whole, so that a log line said "unknown" and no decision could use it. Each readable figure is kept now, and the fourth one is the pace.

--- a/internal/relayer/codec.go
+++ b/internal/relayer/codec.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -107,19 +106,37 @@
 	return strconv.FormatFloat(float64(*l), 'g', -1, 64)
 }
 
+// UnknownCount stands for a count of an EndpointLoad that was not stated or cannot be read.
+const UnknownCount = -1
+
 // EndpointLoad is what an endpoint says of its load: the requests that it runs, those
-// in its queue, and how many it can run at once.
+// in its queue, and how many it can run at once. Each may be UnknownCount.
 type EndpointLoad struct {
 	RunningRequests, QueuedRequests, Slots int
+	// Pace is how long work takes at the endpoint, in hundredths of the normal time; 0 if not stated.
+	Pace int
 }
 
-// String returns the load for logs, as "running+queued/slots"; "unknown" if l is nil.
+// String returns the load for logs, as "running+queued/slots" with "@pace" if a pace is stated;
+// "unknown" if l is nil. A count that is not known is shown as "?".
 func (l *EndpointLoad) String() string {
 	if l == nil {
 		return "unknown"
 	}
+	text := formatCount(l.RunningRequests) + "+" + formatCount(l.QueuedRequests) + "/" + formatCount(l.Slots)
+	if l.Pace > 0 {
+		text += "@" + strconv.Itoa(l.Pace)
+	}
+
+	return text
+}
+
+func formatCount(count int) string {
+	if count < 0 {
+		return "?"
+	}
 
-	return fmt.Sprintf("%d+%d/%d", l.RunningRequests, l.QueuedRequests, l.Slots)
+	return strconv.Itoa(count)
 }
 
 // HeaderCodec converts the metadata of requests and answers from and to HTTP headers.
