placer, relayer: Place by the expected time at each endpoint

One rate for a whole service sends a slow engine as much work as a fast one. Once an endpoint of a service has stated a pace, predicted times and costs are in the endpoint's own time, the short and long groups and the prefix groups count what engines can do, the requests that an endpoint stated correct those that instances told of, and work leaves a data centre whose engines are slower for long while its prompts are not yet late. Peers learn stated paces by Load.pace.

Until then decisions, loads and demands are the same, which a property test verifies.

--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -7,6 +7,7 @@
 	"github.com/oleanderpick/oleanderpick/internal/blockencoder"
 	"github.com/oleanderpick/oleanderpick/internal/dispatcher"
 	"github.com/oleanderpick/oleanderpick/internal/gossiper/gossipwire"
+	"github.com/oleanderpick/oleanderpick/pkg/pacer"
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 	"github.com/oleanderpick/oleanderpick/pkg/quarantiner"
 )
@@ -108,12 +109,17 @@
 }
 
 // EncodeLoad returns the wire form of an instance's load at an endpoint. Negative
-// counts become zero.
+// counts become zero. A pace that says nothing any more is left out.
 func EncodeLoad(endpoint string, load placer.Load) *gossipwire.Load {
-	return &gossipwire.Load{
+	encoded := &gossipwire.Load{
 		Endpoint: endpoint, Running: uint32(max(0, load.RunningRequests)), Short: uint32(max(0, load.RunningShortPrompts)),
 		Pending: uint32(max(0, load.PendingTokens)), Lower: encodeLowerTiers(load.LowerTiers),
 	}
+	if age := time.Since(load.PaceStatedAt); load.Pace > 0 && age < pacer.MaxStatementAge {
+		encoded.Pace, encoded.PaceAgeMs = uint32(load.Pace), toMilliseconds(age)
+	}
+
+	return encoded
 }
 
 // encodeLowerTiers returns the wire form of the numbers of requests in the lower tiers,
@@ -138,6 +144,9 @@
 			decoded.LowerTiers[i] = int16(min(count, math.MaxInt16))
 		}
 	}
+	if load.GetPace() > 0 {
+		decoded.Pace, decoded.PaceStatedAt = int(load.GetPace()), time.Now().Add(-time.Duration(load.GetPaceAgeMs())*time.Millisecond)
+	}
 
 	return decoded
 }
--- a/internal/relayer/answer.go
+++ b/internal/relayer/answer.go
@@ -68,6 +68,9 @@
 
 		return
 	}
+	if !a.placement.HasPrompt {
+		r.recordPaceError(a)
+	}
 	r.writeAnswerHeader(a.response, int64(len(buffer)))
 	if _, err := r.w.Write(buffer); err != nil {
 		r.relayer.logger.Debug("Caller disconnected during the answer.", "request", r.metadata.ID, "error", err)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -168,12 +168,15 @@
 
 // logPlaced logs the chosen endpoint and the estimates by which it was chosen.
 func (r *relayedRequest) logPlaced(placement dispatcher.Placement) {
-	r.relayer.logger.Info("Placed.", "request", r.metadata.ID, "route", r.route.Name, "workspace", r.forwarding.Workspace,
+	fields := append(paceFields(placement),
+		"request", r.metadata.ID, "route", r.route.Name, "workspace", r.forwarding.Workspace,
 		"tier", r.forwarding.Tier, "route tier", r.route.Tier, "service", r.placementRequest.Service, "endpoint", placement.EndpointID, "version", placement.Version, "resumes", r.metadata.ResumedRequestID, "after event", r.continuedAfter(), "remote", placement.InOtherDataCentre, "prompt", r.placementRequest.PromptTokens,
 		"fresh", placement.UncachedTokens, "copied from", placement.CacheSourceAddress, "long", placement.IsLongPrompt, "border", placement.Split, "engines", placement.EngineCount,
 		"expected ms", placement.ExpectedTimeToFirstToken.Milliseconds(), "known running", placement.KnownLoad.RunningRequests,
 		"known pending", placement.KnownLoad.PendingTokens, "tries before", r.possibleRuns+r.refusals+r.unsentAttempts,
 		"configuration", r.matcher.Number(), "registry ms", placement.RegistryAge.Milliseconds(), "left ms", time.Until(r.deadline).Milliseconds())
+	r.relayer.logger.Info("Placed.", fields...)
+	r.countCrossing(placement)
 	r.relayer.meter.RecordDuration("registry-age", placement.RegistryAge)
 }
 
--- a/internal/relayer/response.go
+++ b/internal/relayer/response.go
@@ -24,6 +24,7 @@
 		r.recordLimit(a, metadata)
 		r.recordMaxRejections(a, metadata)
 		r.recordAvailability(a, metadata)
+		r.recordStatement(a)
 	}
 	isRefusal := metadata.Misdirected || (metadata.NotRun && a.response.StatusCode != http.StatusBadRequest)
 	a.mayHaveRun = true // Unless a refusal proves the opposite.
--- a/internal/relayer/stream.go
+++ b/internal/relayer/stream.go
@@ -73,6 +73,7 @@
 		now := time.Now()
 		if first {
 			r.relayer.dispatcher.RecordFirstEvent(a.placement)
+			r.recordPaceError(a)
 			lastReported = now
 		} else if now.Sub(lastReported) > activityReportInterval {
 			r.relayer.dispatcher.RecordActivity(a.placement)
--- a/pkg/pacer/doc.go
+++ b/pkg/pacer/doc.go
@@ -11,7 +11,7 @@
 // Their product is the expected slowness: 1 is usual, and 2 means that work takes twice as long.
 //
 // Answers decide how far statements are believed: what a response took is compared with what was
-// expected with and without the statement, and statements that predict worse are not used.
+// expected without the statement, and statements count as far as the difference follows them.
 //
 // A Pacer is a value without a clock. It is not safe for concurrent use.
 package pacer
--- a/pkg/pacer/pacer.go
+++ b/pkg/pacer/pacer.go
@@ -13,8 +13,8 @@
 	// 600 ms is, at the age of its statement, still slow with a probability that falls to 0 within
 	// 600 ms, which this approximates.
 	transientTime = 300 * time.Millisecond
-	// maxStatementAge is the age from which a statement says nothing any more.
-	maxStatementAge = 5 * transientTime
+	// MaxStatementAge is the age from which a statement says nothing any more.
+	MaxStatementAge = 5 * transientTime
 	// usualPaceTime is the time constant of the pace that the endpoint usually states. It spans many
 	// transient slow periods.
 	usualPaceTime = 15 * time.Second
@@ -22,24 +22,24 @@
 	// while nothing is learned. An endpoint that was judged too slow is so tried again after some
 	// minutes.
 	forgetTime = 6 * time.Minute
-	// lastingWeight is the weight of an answer in the lasting slowness once several were seen.
+	// lastingWeight is the weight of an answer in the slowness of similar endpoints once several were seen.
 	// It averages over some 30 answers, a few seconds of an engine's work.
 	lastingWeight = 0.03
 	// maxFirstWeight limits the weight of the first answers, which may have waited for others.
 	maxFirstWeight = 0.15
+	// ownWeight and maxFirstOwnWeight are the same for the slowness of an endpoint beside that of similar
+	// ones.
+	ownWeight, maxFirstOwnWeight = 0.03, 0.15
 	// errorWeight is the weight of an answer in the mean squared errors.
 	errorWeight = 0.05
-	// minTransientLog is the least logarithm of a transient slowness from which an answer says
-	// whether statements can be believed.
-	minTransientLog = 0.2
+	// trustForgetting is by which part the sums behind the trust in statements decay with each answer. They
+	// span some hundred answers, of which a sixth may come from slow moments.
+	trustForgetting = 0.01
+	// initialTrustWeight is how much the trust in statements before the first answer weighs: as much
+	// as a few answers from moments of two and a half times the usual time.
+	initialTrustWeight = 2
 	// initialVariance is the squared error, as a logarithm, that is assumed at first.
 	initialVariance = 0.25
-	// maxTrustRatio is how much larger the mean squared error with statements may be than without
-	// them for statements to be used.
-	maxTrustRatio = 1.1
-	// minRelevantAnswers is how many answers under a transient slowness must be seen before
-	// statements are given up.
-	minRelevantAnswers = 5
 )
 
 // Like is the lasting slowness of similar endpoints: those of one service, data centre and version. An
@@ -48,6 +48,10 @@
 type Like struct {
 	log     float64 // as a logarithm
 	answers int     // from which it was learned
+	// covariance and transientSquare sum, with decay, the products of the errors without the statements
+	// with the stated transient slowness and the squares of the latter: their ratio is how far
+	// statements are believed.
+	covariance, transientSquare float64
 }
 
 // Pacer is what is known of one endpoint.
@@ -60,10 +64,6 @@
 	statedLog  float64   // pace that it stated last, as a logarithm
 	statedAt   time.Time // zero if it stated none
 	variance   float64   // mean squared error of the expected time; 0 before the first answer
-	// errorWith and errorWithout are the mean squared errors, with and without the statements, of the
-	// answers at which a statement differed from the usual pace, and differingAnswers their number.
-	errorWith, errorWithout float64
-	differingAnswers        int
 }
 
 // Estimate is how long work is expected to take at an endpoint.
@@ -91,14 +91,11 @@
 		return false
 	}
 	if !p.statedAt.IsZero() {
-		weight := 1 - math.Exp(-min(at.Sub(p.statedAt), maxStatementAge).Seconds()/usualPaceTime.Seconds())
+		weight := 1 - math.Exp(-min(at.Sub(p.statedAt), MaxStatementAge).Seconds()/usualPaceTime.Seconds())
 		shift := weight * (p.statedLog - p.usualLog)
 		p.usualLog += shift
-		if p.believesStatements() {
-			// A pace that is always stated is a lasting one, also where no answers show it.
-			p.lastingLog += shift
-			p.limitLasting()
-		}
+		// A pace that is always stated is a lasting one, also where no answers show it.
+		p.lastingLog = limitedLog(p.lastingLog + p.like.trust()*shift)
 	}
 	p.statedLog, p.statedAt = clampedLog(float64(pace)/100), at
 
@@ -108,7 +105,7 @@
 // Statement returns the newest pace that was stated, in hundredths of the normal time, and when; zero
 // if there is none or it says nothing any more.
 func (p *Pacer) Statement(now time.Time) (pace int, at time.Time) {
-	if p.statedAt.IsZero() || now.Sub(p.statedAt) > maxStatementAge {
+	if p.statedAt.IsZero() || now.Sub(p.statedAt) > MaxStatementAge {
 		return 0, time.Time{}
 	}
 
@@ -125,16 +122,9 @@
 	p.relax(now)
 	observed := clampedLog(float64(taken) / float64(usual))
 	transient := p.transientLog(now)
-	with, without := observed-p.like.log-p.lastingLog-transient, observed-p.like.log-p.lastingLog
-	if math.Abs(transient) >= minTransientLog {
-		p.differingAnswers++
-		p.errorWith += errorWeight * (with*with - p.errorWith)
-		p.errorWithout += errorWeight * (without*without - p.errorWithout)
-	}
-	deviation := without
-	if p.believesStatements() {
-		deviation = with
-	}
+	without := observed - p.like.log - p.lastingLog
+	deviation := without - p.like.trust()*transient
+	p.like.recordTransient(without, transient)
 	if p.answers == 0 {
 		p.variance = initialVariance
 	}
@@ -142,12 +132,7 @@
 	p.variance += errorWeight * (min(deviation*deviation, 4) - p.variance)
 	p.like.answers++
 	p.like.log = limitedLog(p.like.log + max(lastingWeight, maxFirstWeight/float64(p.like.answers))*deviation)
-	p.lastingLog += max(lastingWeight, maxFirstWeight/float64(p.answers)) * deviation
-	p.limitLasting()
-}
-
-// limitLasting limits the lasting slowness by maxSlowness.
-func (p *Pacer) limitLasting() {
+	p.lastingLog += max(ownWeight, maxFirstOwnWeight/float64(p.answers)) * deviation
 	p.lastingLog = limitedLog(p.lastingLog)
 }
 
@@ -176,25 +161,30 @@
 // transientLog returns the transient slowness beside the usual pace, as a logarithm.
 func (p *Pacer) transientLog(now time.Time) float64 {
 	age := max(0, now.Sub(p.statedAt))
-	if p.statedAt.IsZero() || age > maxStatementAge {
+	if p.statedAt.IsZero() || age > MaxStatementAge {
 		return 0
 	}
 
 	return (p.statedLog - p.usualLog) * math.Exp(-age.Seconds()/transientTime.Seconds())
 }
 
-// believesStatements reports whether statements predict the answers about as well as silence or better.
-func (p *Pacer) believesStatements() bool {
-	return p.differingAnswers < minRelevantAnswers || p.errorWith <= maxTrustRatio*p.errorWithout
+// recordTransient records by how much an answer differed from what was expected without the statement,
+// and the stated transient slowness, both as logarithms.
+func (l *Like) recordTransient(deviation, transient float64) {
+	l.covariance = (1-trustForgetting)*l.covariance + deviation*transient
+	l.transientSquare = (1-trustForgetting)*l.transientSquare + transient*transient
+}
+
+// trust returns by how much of what statements say answers deviate: 1 if they are right, 0 if they say
+// nothing.
+func (l *Like) trust() float64 {
+	return min(1, max(0, (initialTrustWeight+l.covariance)/(initialTrustWeight+l.transientSquare)))
 }
 
 // Estimate returns how long work is expected to take at the endpoint.
 func (p *Pacer) Estimate(now time.Time) Estimate {
 	lasting := p.like.log + p.relaxedLog(now)
-	slowness := lasting
-	if p.believesStatements() {
-		slowness += p.transientLog(now)
-	}
+	slowness := lasting + p.like.trust()*p.transientLog(now)
 	variance := p.variance
 	if p.answers == 0 {
 		variance = initialVariance
--- a/pkg/placer/divided.go
+++ b/pkg/placer/divided.go
@@ -19,11 +19,12 @@
 	}
 	if s.isLongPrompt() {
 		if e := p.pickLongPromptEngine(&s, local); e != nil {
-			return s.newChoice(e, s.service.split(s.now, len(local.eligible)))
+			return s.newChoice(e, local.split())
 		}
 	}
 	choice := local.pickEngine()
-	if !s.isLate(choice) {
+	isSlow := s.isSlowerThanAll(local)
+	if !isSlow && !s.isLate(choice) {
 		return choice
 	}
 	remote := s.restrict(func(e *endpoint) bool { return e.DataCentre != s.dataCentre })
@@ -32,7 +33,9 @@
 		return choice
 	}
 	alternative := s.newChoice(remote.leastBusy(remote.withFreeSlot(remote.candidates)), choice.Split)
-	if alternative.ExpectedTimeToFirstToken+minMoveGain < choice.ExpectedTimeToFirstToken {
+	isCheaper := isSlow && s.shortPromptCost(s.endpointOf(alternative))+minCrossingGain < s.shortPromptCost(s.endpointOf(choice))
+	isSooner := s.isLate(choice) && alternative.ExpectedTimeToFirstToken+minMoveGain < choice.ExpectedTimeToFirstToken
+	if isCheaper || isSooner {
 		return alternative
 	}
 
@@ -44,7 +47,7 @@
 // late there and clearly sooner elsewhere. If not, the engine of the prompt's prefix group in any data
 // centre is preferred.
 func (p *Placer) pickLongPromptEngine(s, local *search) *endpoint {
-	split := s.service.split(s.now, len(local.eligible))
+	split := local.split()
 	localGroup := local.longGroup(split)
 	if !s.request.CanCopyCache {
 		remoteGroup := p.remoteLongGroups(s)
@@ -53,7 +56,7 @@
 	}
 	s.copyableTokens = s.mostCachedTokens()
 	chosen := s.pickForLongPrompt(localGroup, localGroup)
-	if chosen != nil && !s.isLate(s.newChoice(chosen, split)) {
+	if chosen != nil && !s.isSlowerThanAll(local) && !s.isLate(s.newChoice(chosen, split)) {
 		return chosen
 	}
 	shortGroup := local.candidates[:len(local.candidates)-len(localGroup)]
--- a/pkg/placer/endpoint.go
+++ b/pkg/placer/endpoint.go
@@ -27,6 +27,7 @@
 	misdirections        int       // since its last answer
 	lastActivity         time.Time // time of the last event or answer from it
 	startedRequests      int       // local requests that sent their first event
+	pace                 endpointPace
 }
 
 // prefill records which shared blocks an engine prefilled for one prompt, and when.
@@ -58,13 +59,16 @@
 }
 
 // slotsOrDefault returns the number of requests that the endpoint runs in one batch,
-// or defaultSlots if the endpoint did not report any.
+// or defaultSlots if it is not known.
 func (e *endpoint) slotsOrDefault() int {
-	if e.Slots <= 0 {
+	switch {
+	case e.Slots > 0:
+		return e.Slots
+	case e.pace.statedSlots > 0:
+		return e.pace.statedSlots
+	default:
 		return defaultSlots
 	}
-
-	return e.Slots
 }
 
 // isFull reports whether the engine has no free slot.
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -20,6 +20,8 @@
 	// late.
 	isFleetDivided bool
 	sampleCount    uint64 // random samples of engines drawn so far
+	// newestStatementAt is the time of the newest stated pace.
+	newestStatementAt time.Time
 }
 
 // inFlightRequest is a local request that was sent to an endpoint and has no result
@@ -34,6 +36,8 @@
 	sentAt         time.Time
 	startedAt      time.Time // time of the first event
 	hasStarted     bool
+	usualTime      time.Duration // predicted time to the first token at an engine of usual speed
+	waitedForSlot  bool          // whether all slots were taken when the request was sent
 }
 
 // New returns a placer without endpoints.
@@ -59,6 +63,7 @@
 		e := previous[r.ID]
 		if e == nil || e.StartedUnixMs != r.StartedUnixMs || e.Address != r.Address {
 			e = newEndpoint(r)
+			p.getOrCreateService(r.Service).pace.join(e)
 		}
 		e.Endpoint = r
 		e.peerLoad, e.summarizedLoad = Load{}, Load{}
@@ -113,7 +118,7 @@
 
 		return Choice{
 			EndpointID: e.ID, Address: e.Address, Version: e.Version, StartedUnixMs: e.StartedUnixMs,
-			KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre,
+			KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre, Pace: s.choicePace(e),
 		}, true
 	}
 
@@ -169,6 +174,7 @@
 	p.inFlight[id] = &inFlightRequest{
 		endpoint: e, service: s, request: request, uncachedTokens: choice.UncachedTokens, isLongPrompt: choice.IsLongPrompt,
 		tokensAhead: e.totalLoad().PendingTokens, sentAt: now,
+		usualTime: choice.usualTime(), waitedForSlot: e.totalLoad().RunningRequests >= e.slotsOrDefault(),
 	}
 	e.localLoad.addRequest(request.Tier, 1)
 	e.localLoad.PendingTokens += choice.UncachedTokens
@@ -193,7 +199,8 @@
 	r.endpoint.localLoad.PendingTokens -= r.uncachedTokens
 	r.endpoint.lastActivity = now
 	r.endpoint.startedRequests++
-	r.service.updatePrefillRate(r.uncachedTokens+r.tokensAhead, now.Sub(r.sentAt))
+	r.service.updatePrefillRate(r.uncachedTokens+r.tokensAhead, r.service.unslowed(now, r.endpoint, now.Sub(r.sentAt)))
+	r.service.recordFirstEventTime(now, r)
 }
 
 // RecordActivity records that the endpoint of a local request sent something.
@@ -232,6 +239,9 @@
 	if r.request.PromptTokens > 0 && !r.isLongPrompt {
 		r.endpoint.localLoad.RunningShortPrompts--
 	}
+	if result == Finished {
+		r.service.recordCallTime(now, r)
+	}
 	r.endpoint.recordResult(now, result)
 }
 
@@ -240,8 +250,8 @@
 func (p *Placer) LocalLoads() map[string]Load {
 	loads := map[string]Load{}
 	for id, e := range p.endpoints {
-		if e.localLoad != (Load{}) {
-			loads[id] = e.localLoad
+		if load := e.localLoad.with(e.pace.own, p.newestStatementAt); load != (Load{}) {
+			loads[id] = load
 		}
 	}
 
@@ -302,7 +312,7 @@
 func (p *Placer) DataCentreLoads() map[string]Load {
 	loads := map[string]Load{}
 	for id, e := range p.endpoints {
-		if load := e.dataCentreLoad(); load != (Load{}) {
+		if load := e.dataCentreLoad().with(e.pace.dataCentre, p.newestStatementAt); load != (Load{}) {
 			loads[id] = load
 		}
 	}
@@ -317,6 +327,7 @@
 		p.getOrCreateService(name).remoteDemands[dataCentre] = peerDemand{Demand: demand, receivedAt: now}
 	}
 	p.peerLoads.receive(now, peerID{name: dataCentre, isDataCentre: true}, loads, p.endpoints)
+	p.receivePaces(loads, true)
 }
 
 // ReceiveLoads replaces a peer's loads, by endpoint ID, and its demands, by service
@@ -326,12 +337,14 @@
 		p.getOrCreateService(name).peerDemands[peer] = peerDemand{Demand: demand, receivedAt: now}
 	}
 	p.peerLoads.receive(now, peerID{name: peer}, loads, p.endpoints)
+	p.receivePaces(loads, false)
 }
 
 // ReceiveLoadUpdate replaces a peer's load at one endpoint, between two messages that
 // contain all its loads.
 func (p *Placer) ReceiveLoadUpdate(peer, id string, load Load) {
 	p.peerLoads.receiveUpdate(peerID{name: peer}, id, load, p.endpoints)
+	p.receivePace(id, load, false)
 }
 
 // HasEndpoint reports whether an endpoint is registered.
@@ -352,7 +365,7 @@
 // LocalLoad returns this instance's load at one endpoint.
 func (p *Placer) LocalLoad(id string) Load {
 	if e := p.endpoints[id]; e != nil {
-		return e.localLoad
+		return e.localLoad.with(e.pace.own, p.newestStatementAt)
 	}
 
 	return Load{}
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -125,6 +125,8 @@
 	HasPrompt bool
 	// IsLongPrompt reports whether the prompt counts as long.
 	IsLongPrompt bool
+	// Pace is what is known of the endpoint's speed; zero for services whose endpoints state no pace.
+	Pace ChoicePace
 	// Split is the number of engines in the short group, out of EngineCount
 	// engines of the service.
 	Split, EngineCount int
@@ -167,6 +169,10 @@
 	// LowerTiers[i] is the number of the requests in flight that have tier i+1. The
 	// others have tier 0.
 	LowerTiers LowerTiers
+	// Pace is how long work takes at the endpoint as it last stated to this instance, in hundredths of
+	// the normal time, at PaceStatedAt; 0 if it stated none. Sums of loads have none.
+	Pace         int
+	PaceStatedAt time.Time
 }
 
 // LowerTiers holds a number of requests for each tier below the highest.
--- a/pkg/placer/search.go
+++ b/pkg/placer/search.go
@@ -115,18 +115,23 @@
 // slots. Endpoints in other data centres count as running otherDataCentrePenalty more.
 func (s *search) pickPlain() *endpoint {
 	return cheapest(s.candidates, func(e *endpoint) float64 {
-		running := float64(e.totalLoad().RunningRequests) + 1
+		running := float64(s.loadOf(e).RunningRequests) + 1
 		if e.DataCentre != s.dataCentre {
 			running += otherDataCentrePenalty
 		}
 
-		return running / float64(max(1, e.Slots))
+		load := running / float64(max(1, e.Slots))
+		if s.service.pace.isEnabled {
+			return s.plainCost(e, load)
+		}
+
+		return load
 	})
 }
 
 // pickEngine chooses an engine for a request that has a prompt.
 func (s *search) pickEngine() Choice {
-	split := s.service.split(s.now, len(s.eligible))
+	split := s.split()
 	longGroup := s.longGroup(split)
 	var e *endpoint
 	if s.isLongPrompt() {
@@ -142,6 +147,11 @@
 	return s.newChoice(e, split)
 }
 
+// split returns how many of the eligible engines are in the short group.
+func (s *search) split() int {
+	return s.service.split(s.now, len(s.eligible), s.service.capacity(s.now, s.eligible))
+}
+
 // longGroup returns the candidates for long prompts, given how many of the eligible
 // engines are in the short group.
 func (s *search) longGroup(split int) []*endpoint {
@@ -179,9 +189,10 @@
 		CacheSourceAddress: addressOf(source),
 		EndpointID:         e.ID, Address: e.Address, Version: e.Version, StartedUnixMs: e.StartedUnixMs,
 		ExpectedTimeToFirstToken: s.timeToFirstToken(e, uncachedTokens),
-		UncachedTokens:           uncachedTokens, PrefillTime: s.service.prefillTime(uncachedTokens), IsLongPrompt: s.isLongPrompt(),
+		UncachedTokens:           uncachedTokens, PrefillTime: s.prefillTime(e, uncachedTokens), IsLongPrompt: s.isLongPrompt(),
 		HasPrompt: true,
 		KnownLoad: e.totalLoad(), InOtherDataCentre: e.DataCentre != s.dataCentre, Split: split, EngineCount: len(s.eligible),
+		Pace: s.choicePace(e),
 	}
 }
 
@@ -193,6 +204,9 @@
 	if n < 2 || len(s.eligible) < 2 {
 		return n
 	}
+	if s.service.pace.isEnabled {
+		return min(n-1, max(1, s.splitByCapacity(float64(split)/float64(len(s.eligible)))))
+	}
 	scaled := float64(split) * float64(n) / float64(len(s.eligible))
 
 	return min(n-1, max(1, int(math.Round(scaled))))
@@ -270,15 +284,20 @@
 // millisecond of prefill like one running stream, and adds a penalty to engines in
 // other data centres.
 func (s *search) leastBusy(engines []*endpoint) *endpoint {
-	return cheapest(engines, func(e *endpoint) float64 {
-		load := e.totalLoad()
-		cost := float64(load.RunningRequests) + s.service.prefillTime(load.PendingTokens+s.uncachedTokens(e)).Seconds()*float64(time.Second/time.Millisecond)
-		if e.DataCentre != s.dataCentre {
-			cost += otherDataCentrePenalty
-		}
+	return cheapest(engines, s.shortPromptCost)
+}
 
-		return cost
-	})
+// shortPromptCost returns the work at an engine, in milliseconds of prefill or running streams, in the
+// engine's own time.
+func (s *search) shortPromptCost(e *endpoint) float64 {
+	load := s.loadOf(e)
+	cost := float64(load.RunningRequests) + s.service.prefillTime(load.PendingTokens+s.uncachedTokens(e)).Seconds()*float64(time.Second/time.Millisecond)
+	cost *= s.service.estimate(s.now, e).Slowness
+	if e.DataCentre != s.dataCentre {
+		cost += otherDataCentrePenalty
+	}
+
+	return cost
 }
 
 // pickForLongPrompt returns the engine of the long group that the request's prefix group
@@ -289,8 +308,8 @@
 	if prefixGroup == 0 || soonest == nil {
 		return soonest
 	}
-	preferred := cheapest(longGroup, func(e *endpoint) float64 { return -float64(rankHash(e.ID, prefixGroup) >> 11) })
-	repeatedPrefill := s.service.prefillTime(max(0, s.missingTokens(soonest)-s.missingTokens(preferred)))
+	preferred := cheapest(longGroup, func(e *endpoint) float64 { return s.prefixRank(e, prefixGroup) })
+	repeatedPrefill := s.prefillTime(soonest, max(0, s.missingTokens(soonest)-s.missingTokens(preferred)))
 	if s.longPromptCost(preferred) <= s.longPromptCost(soonest)+repeatedPrefill+minMoveGain {
 		return preferred
 	}
@@ -298,13 +317,23 @@
 	return soonest
 }
 
+// prefillTime returns the time that an engine takes to prefill the given number of tokens.
+func (s *search) prefillTime(e *endpoint, tokens int) time.Duration {
+	return s.service.slowed(s.now, e, s.service.prefillTime(tokens))
+}
+
+// loadOf returns the load of all instances at an endpoint.
+func (s *search) loadOf(e *endpoint) Load {
+	return s.service.loadAt(s.now, e)
+}
+
 // longPromptCost returns the predicted time to the first token of a long prompt at an
 // engine, plus a penalty for each stream that its prefill would pause.
 func (s *search) longPromptCost(e *endpoint) time.Duration {
 	uncachedTokens := s.missingTokens(e)
 	load := e.totalLoad()
-	cost := s.timeToFirstToken(e, uncachedTokens) + s.service.prefillTime(s.uncachedTokens(e)-uncachedTokens)/prefillPerCopy
-	if s.service.prefillTime(load.PendingTokens+uncachedTokens) > maxPrefillPause {
+	cost := s.timeToFirstToken(e, uncachedTokens) + s.prefillTime(e, s.uncachedTokens(e)-uncachedTokens)/prefillPerCopy
+	if s.prefillTime(e, load.PendingTokens+uncachedTokens) > maxPrefillPause {
 		cost += time.Duration(load.RunningShortPrompts) * streamPausePenalty
 	}
 
@@ -349,8 +378,8 @@
 // timeToFirstToken predicts the time until an engine that has to prefill the given
 // number of the request's tokens sends the first token.
 func (s *search) timeToFirstToken(e *endpoint, uncachedTokens int) time.Duration {
-	load := e.totalLoad()
+	load := s.loadOf(e)
 
-	return s.service.prefillTime(load.PendingTokens+uncachedTokens) + time.Duration(load.RunningRequests)*delayPerRunningRequest +
-		s.service.slotWait(load.requestsUpTo(s.request.Tier), e.slotsOrDefault())
+	return s.service.slowed(s.now, e, s.service.prefillTime(load.PendingTokens+uncachedTokens)+time.Duration(load.RunningRequests)*delayPerRunningRequest+
+		s.service.slotWait(load.requestsUpTo(s.request.Tier), e.slotsOrDefault()))
 }
--- a/pkg/placer/service.go
+++ b/pkg/placer/service.go
@@ -21,6 +21,7 @@
 	smoothedAt            time.Time             // last update of smoothedShortFraction
 	localSplit            int                   // engines in the short group, as this instance decides
 	localSplitEngineCount int                   // number of engines that localSplit was decided for
+	pace                  pace
 }
 
 // peerDemand is the demand that a peer reported, and when.
@@ -47,6 +48,7 @@
 		prefillRate:  settings.InitialPrefillRate, minLongPromptTokens: settings.MinLongPromptTokens,
 		meanRunTime: initialRunTime,
 		peerDemands: map[string]peerDemand{}, remoteDemands: map[string]peerDemand{}, smoothedShortFraction: initialShortFraction,
+		pace: newPace(),
 	}
 }
 
@@ -123,10 +125,11 @@
 	return sum
 }
 
-// split returns how many of n engines, by rank, are in the short group. The live
+// split returns how many of n engines, by rank, are in the short group. Together these do the work
+// of the given number of engines of usual speed. The live
 // instance with the alphabetically first name decides, so that all instances agree.
-func (s *service) split(now time.Time, n int) int {
-	localSplit := s.updateLocalSplit(now, n)
+func (s *service) split(now time.Time, n int, capacity float64) int {
+	localSplit := s.updateLocalSplit(now, n, capacity)
 	leader, split := s.instanceName, localSplit
 	for peer, demand := range s.peerDemands {
 		if demand.EngineCount > 0 && peer < leader && now.Sub(demand.receivedAt) < peerSplitTTL {
@@ -165,13 +168,13 @@
 // updateLocalSplit returns the split that this instance would choose for n engines.
 // It follows the demand of all instances slowly, since each change moves prefix
 // groups to engines that have not cached them.
-func (s *service) updateLocalSplit(now time.Time, n int) int {
+func (s *service) updateLocalSplit(now time.Time, n int, capacity float64) int {
 	if total := s.totalDemand(now); total.ShortPromptEngines+total.LongPromptEngines > 0 {
 		if s.smoothedAt.IsZero() {
 			s.smoothedAt = now
 		}
 		weight := 1 - math.Exp(-now.Sub(s.smoothedAt).Seconds()/splitTimeConstant.Seconds())
-		s.smoothedShortFraction += weight * (total.shortFraction(n) - s.smoothedShortFraction)
+		s.smoothedShortFraction += weight * (total.shortFraction(capacity) - s.smoothedShortFraction)
 		s.smoothedAt = now
 	}
 	targetSplit := float64(n) * s.smoothedShortFraction
@@ -182,17 +185,18 @@
 	return s.localSplit
 }
 
-// shortFraction returns the fraction of n engines that the short group should get.
+// shortFraction returns the fraction of engines that the short group should get, which together do
+// the work of the given number of engines of usual speed.
 // While there are enough engines, it is the short prompts' share of the demand.
 // Otherwise short prompts get what they need first, up to maxShortFraction, because
 // the same engine time serves many more short prompts than long ones.
-func (d Demand) shortFraction(n int) float64 {
+func (d Demand) shortFraction(capacity float64) float64 {
 	sum := d.ShortPromptEngines + d.LongPromptEngines
-	if sum <= float64(n) {
+	if sum <= capacity {
 		return d.ShortPromptEngines / sum
 	}
 
-	return max(d.ShortPromptEngines/sum, min(maxShortFraction, d.ShortPromptEngines/float64(n)))
+	return max(d.ShortPromptEngines/sum, min(maxShortFraction, d.ShortPromptEngines/capacity))
 }
 
 // arrivals counts the uncached prompt tokens that arrive at this instance for a
