simulator, docs: Compare placement where engines differ in speed

The simulator's engines were all alike. They now have a lasting speed and slow moments, and state a true, partial, old or wrong pace; a plain service of four endpoints is simulated too.

--- a/internal/lab/simulator/engine.go
+++ b/internal/lab/simulator/engine.go
@@ -53,6 +53,8 @@
 	// down: the engine has crashed and refuses connections. unresponsive: it keeps
 	// its connections but sends nothing.
 	down, unresponsive bool
+	slowness           func(now time.Time) float64 // by which a step takes longer; nil for 1
+	statedPace         func(now time.Time) int     // nil if it states none
 }
 
 // stepResult holds the sequences whose streams began, ended or sent an event in a
@@ -97,6 +99,9 @@
 			e.prefilling, prefilled = e.prefilling[1:], head
 		}
 	}
+	if e.slowness != nil {
+		duration = time.Duration(float64(duration) * e.slowness(now))
+	}
 	e.stepEndsAt = now.Add(duration)
 	unfinished := e.running[:0]
 	for _, s := range e.running {
--- a/internal/lab/simulator/fleet.go
+++ b/internal/lab/simulator/fleet.go
@@ -84,6 +84,7 @@
 	lastSequenceID   uint64
 	prefilledBlocks  map[uint64]bool // blocks that any engine has been sent to prefill
 	outcome          Outcome
+	speed            Speed
 }
 
 // contact is what an instance knows of a peer.
@@ -100,6 +101,7 @@
 // which engines the faults affect.
 func Run(scenario Scenario, policy Policy, size Size, seed uint64) Outcome {
 	f := newFleet(policy, size, seed)
+	f.setSpeed(scenario.Speed, seed)
 	f.runPhase(scenario.WarmUp, nil)
 	f.outcome = Outcome{}
 	f.measurementStart = f.now
@@ -192,6 +194,7 @@
 				f.instances[s.instance].RecordActivity(e.stepEndsAt, s.id)
 			}
 			for _, s := range result.started {
+				f.recordStatement(s, e)
 				f.instances[s.instance].RecordFirstEvent(e.stepEndsAt, s.id)
 				f.sendLoadUpdates(s.instance, e)
 			}
@@ -252,7 +255,7 @@
 	if !f.policy.sendsLoadUpdates {
 		return
 	}
-	id := f.endpoints[slices.Index(f.engines, e)].ID
+	id := f.endpointID(e)
 	load := f.instances[sender].LocalLoad(id)
 	fleet := f.spreaderFleet(sender)
 	for i, receiver := range f.instances {
@@ -262,6 +265,11 @@
 	}
 }
 
+// endpointID returns the ID of an engine's endpoint.
+func (f *Fleet) endpointID(e *engine) string {
+	return f.endpoints[slices.Index(f.engines, e)].ID
+}
+
 // runGossipRound lets each instance exchange messages with the peers that it contacted
 // longest ago. Messages arrive at once and are never lost. Policies without a placer
 // need none.
--- a/internal/lab/simulator/outcome.go
+++ b/internal/lab/simulator/outcome.go
@@ -18,8 +18,13 @@
 	// RepeatedPrefixTokens those of shared prefixes that some engine had prefilled
 	// before.
 	PrefilledTokens, RepeatedPrefixTokens int
+	// StartedIn counts the streams that began in each data centre.
+	StartedIn [maxDataCentres]int
 }
 
+// maxDataCentres is the number of data centres that are counted apart.
+const maxDataCentres = 8
+
 // recordFinished counts a finished sequence and whether it met its targets. Pauses
 // within the stream count for short prompts only.
 func (o *Outcome) recordFinished(s *sequence) {
@@ -48,6 +53,9 @@
 	o.AvoidableRefusals += other.AvoidableRefusals
 	o.PrefilledTokens += other.PrefilledTokens
 	o.RepeatedPrefixTokens += other.RepeatedPrefixTokens
+	for i, count := range other.StartedIn {
+		o.StartedIn[i] += count
+	}
 
 	return o
 }
--- a/internal/lab/simulator/policy.go
+++ b/internal/lab/simulator/policy.go
@@ -18,6 +18,8 @@
 	// copiesCache reports whether the chosen engine copies cached prompt blocks from
 	// any engine that has them.
 	copiesCache bool
+	// ignoresStatements reports whether instances ignore what engines state of their load and pace.
+	ignoresStatements bool
 }
 
 // minLongPromptTokens is the length from which the policies without a placer treat a
@@ -101,5 +103,5 @@
 		cost += time.Duration(len(e.running)) * longPauseCost
 	}
 
-	return cost
+	return f.pacedOracleCost(e, cost)
 }
--- a/internal/lab/simulator/request.go
+++ b/internal/lab/simulator/request.go
@@ -44,7 +44,7 @@
 // engine that refuses it or the connection is avoided in the next attempt.
 func (f *Fleet) submit(request placer.Request, outputTokens int, isLong bool) {
 	f.requestCount++
-	instance := f.random.IntN(len(f.instances))
+	instance := f.drawInstance()
 	for range maxAttempts {
 		f.lastSequenceID++
 		s := &sequence{
--- a/internal/lab/simulator/scenario.go
+++ b/internal/lab/simulator/scenario.go
@@ -34,6 +34,8 @@
 	WarmUp Phase
 	Phases []Phase
 	Faults []Fault
+	// Speed is how the speeds of engines and the demands of data centres differ.
+	Speed Speed
 }
 
 // usualRates is the usual load of nine engines.
--- a/pkg/placer/pace_benchmark_test.go
+++ b/pkg/placer/pace_benchmark_test.go
@@ -12,6 +12,16 @@
 // BenchmarkPick measures a decision for a long prompt whose blocks can be copied, in a divided fleet
 // of five data centres.
 func BenchmarkPick(b *testing.B) {
+	benchmarkPick(b, 0)
+}
+
+// BenchmarkPickByPace measures the same where endpoints state a pace.
+func BenchmarkPickByPace(b *testing.B) {
+	benchmarkPick(b, 100)
+}
+
+func benchmarkPick(b *testing.B, pace int) {
+	b.Helper()
 	for _, count := range []int{12, 112, 600} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			p := placer.New(placer.Settings{InstanceName: "i", DataCentre: "dc0"})
@@ -26,6 +36,9 @@
 				Blocks: []placer.PromptBlock{{ID: 1, Tokens: 6300}, {ID: 2, Tokens: 2700}},
 			}
 			now := time.Unix(1000, 0)
+			for _, e := range endpoints {
+				p.RecordStatement(now, e.ID, placer.Statement{Pace: pace})
+			}
 			for b.Loop() {
 				now = now.Add(time.Millisecond)
 				_, _ = p.Pick(now, request)
