--- a/internal/lab/simulator/fleet.go
+++ b/internal/lab/simulator/fleet.go
@@ -85,6 +85,7 @@
 	prefilledBlocks  map[uint64]bool // blocks that any engine has been sent to prefill
 	outcome          Outcome
 	drawInstance     func() int // returns the instance that gets the next request
+	speed            Speed
 }
 
 // contact is what an instance knows of a peer.
@@ -101,6 +102,7 @@
 // which engines the faults affect.
 func Run(scenario Scenario, policy Policy, size Size, seed uint64) Outcome {
 	f := newFleet(policy, size, seed)
+	f.setSpeed(scenario.Speed, seed)
 	f.runPhase(scenario.WarmUp, nil)
 	f.outcome = Outcome{}
 	f.measurementStart = f.now
@@ -114,7 +116,7 @@
 
 func newFleet(policy Policy, size Size, seed uint64) *Fleet {
 	f := &Fleet{size: size, random: rand.New(rand.NewPCG(seed, secondPCGSeed)), now: time.Unix(1000, 0), policy: policy, prefilledBlocks: map[uint64]bool{}, summaryAt: map[summaryKey]time.Time{}}
-	f.drawInstance = func() int { return f.random.IntN(len(f.instances)) }
+	f.drawInstance = f.drawInstanceBySwing
 	for i := range size.Engines {
 		f.engines = append(f.engines, newEngine(f.now, size.Slots))
 		f.endpoints = append(f.endpoints, registrar.Endpoint{
@@ -194,6 +196,7 @@
 				f.instances[s.instance].RecordActivity(e.stepEndsAt, s.id)
 			}
 			for _, s := range result.started {
+				f.recordStatement(s, e)
 				f.instances[s.instance].RecordFirstEvent(e.stepEndsAt, s.id)
 				f.sendLoadUpdates(s.instance, e)
 			}
@@ -254,7 +257,7 @@
 	if !f.policy.sendsLoadUpdates {
 		return
 	}
-	id := f.endpoints[slices.Index(f.engines, e)].ID
+	id := f.endpointID(e)
 	load := f.instances[sender].LocalLoad(id)
 	fleet := f.spreaderFleet(sender)
 	for i, receiver := range f.instances {
@@ -264,6 +267,11 @@
 	}
 }
 
+// endpointID returns the ID of an engine's endpoint.
+func (f *Fleet) endpointID(e *engine) string {
+	return f.endpoints[slices.Index(f.engines, e)].ID
+}
+
 // runGossipRound lets each instance exchange messages with the peers that it contacted
 // longest ago. Messages arrive at once and are never lost. Policies without a placer
 // need none.
--- a/pkg/placer/request.go
+++ b/pkg/placer/request.go
@@ -134,6 +134,8 @@
 	HasPrompt bool
 	// IsLongPrompt reports whether the prompt counts as long.
 	IsLongPrompt bool
+	// Pace is what is known of the endpoint's speed; zero for services whose endpoints state no pace.
+	Pace ChoicePace
 	// Split is the number of engines in the short group, out of EngineCount
 	// engines of the service.
 	Split, EngineCount int
@@ -178,6 +180,10 @@
 	LowerTiers LowerTiers
 	// LowerPending[i] is the number of the pending tokens whose requests have tier i+1.
 	LowerPending LowerPending
+	// Pace is how long work takes at the endpoint as it last stated to this instance, in hundredths of
+	// the normal time, at PaceStatedAt; 0 if it stated none. Sums of loads have none.
+	Pace         int
+	PaceStatedAt time.Time
 }
 
 // LowerTiers holds a number of requests for each tier below the highest.
