--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -80,6 +80,13 @@
 		addLoads(message, state)
 		g.addClaims(now, message)
 	}
+	addFailures(now, message, state)
+
+	return message
+}
+
+// addFailures adds what is known of requests and blocks that crash endpoints, and of rejections.
+func addFailures(now time.Time, message *gossipwire.Message, state dispatcher.Message) {
 	for _, entry := range state.Suspects {
 		message.Suspects = append(message.Suspects, encodeSuspect(now, entry))
 	}
@@ -87,8 +94,6 @@
 	for _, rejection := range state.Rejections {
 		message.Rejections = append(message.Rejections, &gossipwire.Rejection{Endpoint: rejection.EndpointID, AgeMs: toMilliseconds(now.Sub(rejection.At))})
 	}
-
-	return message
 }
 
 // addLoads adds the loads at endpoints, the prompt blocks that the endpoints prefilled
