--- a/internal/dutyholder/holder.go
+++ b/internal/dutyholder/holder.go
@@ -53,8 +53,7 @@
 	// other instances look whether they have become one.
 	tickInterval = 50 * time.Millisecond
 	idleInterval = 250 * time.Millisecond
-	// renewalsPerLease is the number of renewals and of reads in the duration of a lease. Two may
-	// fail before the lease ends.
+	// renewalsPerLease is the number of renewals, and of reads, in a lease. Two may fail before it ends.
 	renewalsPerLease = 3
 	// retryDelay is the time between a failed call of the store and the next one.
 	retryDelay = 200 * time.Millisecond
@@ -194,11 +193,11 @@
 
 			return ctx.Err()
 		case <-ticker.C:
+			interval := idleInterval
 			if h.tick(ctx) {
-				ticker.Reset(tickInterval)
-			} else {
-				ticker.Reset(idleInterval)
+				interval = tickInterval
 			}
+			ticker.Reset(interval)
 		}
 	}
 }
