cloudcaller: Believe only a whole answer to the call itself

Cause: found by reading. A usage report or an order counted as accepted or refused by the status line alone, also if the answer was cut off, held another one, or ended with its connection before the call was sent; and calls shared a kept connection although answers name no call, so that a late second answer to one call could pass for that to the next. A report taken for accepted is never made. Change: a new connection for each call, as for orders to engines; an answer that is not whole, holds another one or ends early leaves the call in doubt, and it is repeated with the same counts. Result: TestAnswerThatProvesNothingLeavesACallInDoubt; before, the cut answers counted.

--- a/internal/cloudcaller/cloudcaller.go
+++ b/internal/cloudcaller/cloudcaller.go
@@ -15,6 +15,8 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/oleanderpick/oleanderpick/internal/common/sendtracker"
+	"github.com/oleanderpick/oleanderpick/internal/common/verifier"
 	"github.com/oleanderpick/oleanderpick/internal/connector"
 	"github.com/oleanderpick/oleanderpick/internal/dutyholder"
 )
@@ -71,8 +73,6 @@
 	rateDivisor = 4
 	// maxAnswerBytes is how much of an answer is read.
 	maxAnswerBytes = 16 << 10
-	// connectionUse is the name under which the connector opens connections for calls.
-	connectionUse = "duty"
 )
 
 // Settings are the place of the cloud API and the limits of calls.
@@ -150,10 +150,12 @@
 	}
 	request.Header = c.format.DutyHeader(c.settings.Instance, term.Fence)
 	request.Header.Set("Content-Type", "application/json")
-	connection, err := c.connections.Open(ctx, c.base.Host, connectionUse)
+	// Answers name no call. On a kept connection, the answer to an earlier call could come once more.
+	connection, err := c.connections.Dial(ctx, c.base.Host)
 	if err != nil {
 		return callError(ErrNotExecuted, err)
 	}
+	defer connection.Close()
 	response, err := connection.Send(request, func() error { //nolint:bodyclose // The body is read to its end or closed with the connection.
 		if c.sinceBoot() >= term.EndsAt {
 			return errTermEnded
@@ -165,21 +167,22 @@
 	case errors.Is(err, connector.ErrNotSent):
 		return callError(ErrNotExecuted, err)
 	case err != nil:
-		c.connections.CloseIdle(c.base.Host)
-
 		return callError(ErrInDoubt, err)
 	}
 
-	return c.finish(connection, response, conflict)
+	return finish(connection, response, conflict)
 }
 
-// finish reads the answer, keeps the connection and returns the call's error.
-func (c *Client) finish(connection *connector.Connection, response *http.Response, conflict error) error {
+// finish reads the answer and returns the call's error. An answer that is not whole says nothing of the call.
+func finish(connection *connector.Connection, response *http.Response, conflict error) error {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil || len(body) == maxAnswerBytes {
-		connection.Close()
-	} else {
-		c.connections.Release(connection, response, 1)
+	switch {
+	case err != nil:
+		return callError(ErrInDoubt, err)
+	case len(body) == maxAnswerBytes || verifier.MayHoldStart(body):
+		return callError(ErrInDoubt, errors.New("the answer has no end, or contains another one"))
+	case sendtracker.EndsEarly(response, connection.HasSentAll):
+		return callError(ErrInDoubt, sendtracker.ErrEarlyEnd)
 	}
 	cause := errors.Errorf("status %d", response.StatusCode)
 	switch {
@@ -214,11 +217,6 @@
 	return true
 }
 
-// CloseIdle closes the idle connections.
-func (c *Client) CloseIdle() {
-	c.connections.Close()
-}
-
 // failedCallError is the error of a call: one of the errors above, and the cause.
 type failedCallError struct {
 	kind, cause error
--- a/internal/cloudcaller/cloudcaller_test.go
+++ b/internal/cloudcaller/cloudcaller_test.go
@@ -1,8 +1,10 @@
 package cloudcaller_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -29,6 +31,44 @@
 
 func (testFormat) DutyHeader(string, uint64) http.Header { return http.Header{} }
 
+// Guards against a report or an order that counts as accepted or refused by an answer that was broken off, was
+// written before the call had been sent, or belongs to an earlier call.
+func TestAnswerThatProvesNothingLeavesACallInDoubt(t *testing.T) {
+	const accepted = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for name, test := range map[string]struct {
+		answer string
+		want   error
+	}{
+		"whole":           {accepted, nil},
+		"cut":             {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", cloudcaller.ErrInDoubt},
+		"conflict, cut":   {"HTTP/1.1 409 Conflict\r\nContent-Length: 9\r\n\r\nno", cloudcaller.ErrInDoubt},
+		"holds another":   {"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nx" + accepted, cloudcaller.ErrInDoubt},
+		"written twice":   {accepted + "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", nil},
+		"not a final one": {"HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n", cloudcaller.ErrInDoubt},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := piper.New()
+				network.ServeConn("cloud", func(conn net.Conn) {
+					if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+						_, _ = io.Copy(io.Discard, request.Body)
+						_, _ = io.WriteString(conn, test.answer)
+					}
+					_ = conn.Close()
+				})
+				client, err := cloudcaller.New(cloudcaller.Settings{URL: "http://cloud"}, testFormat{}, network.Dial, func() time.Duration { return 0 })
+				assert.NilError(t, err)
+				for range 2 {
+					err := client.ReportUsage(t.Context(), dutyholder.Term{Fence: 1, EndsAt: time.Second}, 1, nil)
+					assert.Assert(t, errors.Is(err, test.want), "%v", err)
+				}
+				network.Close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // Guards against calls that leave after their term, that are sent again by themselves or follow a
 // redirection, that go beyond the rate, and against a result that is taken for another one.
 func TestCallsEndAsTheirAnswersSay(t *testing.T) {
@@ -84,7 +124,6 @@
 					time.Sleep(500 * time.Millisecond)
 					assert.NilError(t, call())
 				}
-				client.CloseIdle()
 				network.Close()
 			})
 		})
