relayer: Count stated paces without a metric for each endpoint

Cause: found by reading. A gauge was kept for each endpoint that ever stated a pace; with endpoints that are replaced and ordered anew, the metrics grew for the life of the process. Change: two counters, of slow and of usual statements; the log names the endpoint. Result: not measured; the metrics no longer depend on the number of endpoints.

--- a/internal/relayer/pace.go
+++ b/internal/relayer/pace.go
@@ -7,6 +7,10 @@
 	"github.com/oleanderpick/oleanderpick/pkg/placer"
 )
 
+// slowPace is the stated pace from which an answer is counted as one of a slow endpoint, in hundredths of the normal
+// time. Counts by endpoint would need a metric for each that ever was; the log has them.
+const slowPace = 150
+
 // recordStatement passes on what an answer states of its endpoint's load.
 func (r *relayedRequest) recordStatement(a *attempt) {
 	load := a.endpointLoad
@@ -16,8 +20,11 @@
 	r.relayer.dispatcher.RecordStatement(a.placement, placer.Statement{
 		RunningRequests: load.RunningRequests, QueuedRequests: load.QueuedRequests, Slots: load.Slots, Pace: load.Pace,
 	})
-	if load.Pace > 0 {
-		r.relayer.meter.SetGauge("pace.endpoints."+a.placement.EndpointID, int64(load.Pace))
+	switch {
+	case load.Pace >= slowPace:
+		r.relayer.meter.Add("pace.stated-slow", 1)
+	case load.Pace > 0:
+		r.relayer.meter.Add("pace.stated-usual", 1)
 	}
 }
 
