usagereporter: Report on after a payload that is not known to be stored

When the lease ran out and a write whose answer came late renewed it under the same token, the holder forgot the channels of earlier payloads; the reporter waited for the oldest of them for the rest of the term. Change: the newest payload that is stored counts, and those before it with it. Result: TestReportsGoOnAfterAPayloadThatIsNotKnownToBeStored, which reported no window before.

--- a/internal/usagereporter/term.go
+++ b/internal/usagereporter/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -101,18 +102,7 @@
 
 // storePayload stores the ledger with the lease, and records which payloads are stored.
 func (r *Reporter) storePayload(now time.Duration, term dutyholder.Term) {
-	for len(r.reports.stores) > 0 {
-		select {
-		case <-r.reports.stores[0].stored:
-			r.reports.ledger.Stored(r.reports.stores[0].next)
-			r.reports.stores = r.reports.stores[1:]
-
-			continue
-		default:
-		}
-
-		break
-	}
+	r.recordStored()
 	if now < r.reports.nextStoreAt {
 		return
 	}
@@ -127,6 +117,21 @@
 	r.reports.isUrgent = false
 }
 
+// recordStored records the newest payload that is stored. An earlier one may never be known to be: the lease ran
+// out and was renewed under the same token by a write whose answer came late.
+func (r *Reporter) recordStored() {
+	for i, store := range slices.Backward(r.reports.stores) {
+		select {
+		case <-store.stored:
+			r.reports.ledger.Stored(store.next)
+			r.reports.stores = r.reports.stores[i+1:]
+
+			return
+		default:
+		}
+	}
+}
+
 // startReport starts the call that reports the oldest window that may be reported.
 func (r *Reporter) startReport(ctx context.Context, now time.Duration, term dutyholder.Term) {
 	report, isDue := r.reports.ledger.Due()
