--- /dev/null
+++ b/review/stage/sort.go
@@ -0,0 +1,10 @@
+package main
+
+import (
+	"slices"
+	"time"
+)
+
+func sortTimes(times []time.Time) {
+	slices.SortFunc(times, time.Time.Compare)
+}
